Promises on configuration proved on a network, a log and a clock made for tests

Cause: the promises stood in code alone. The tests run membership and spreading of up to 48 daemons on a clock moved by hand, with a network that can be cut (streams stand still, datagrams are lost) and a log that can be out.

Found, each by a test that failed first: - Herd restart: 48 daemons made 144 reads of the log. Each joined through a seed that knew few, took itself for a feeder of that small view, and read. A daemon now waits until its view has not grown for a second, and feeders keep reads of the head 0.25 s apart so that those who ask share them: below 6 reads per feeder and 4 domains x 2 feeders. Ruled out: the tree itself; after the view is whole only feeders read. - A host without power ends no stream, so its word as a witness stayed. Sessions now end when membership gives the host up or sees a new incarnation (the test takes the mechanism out to see it fail). - The rule of two witnesses: with it taken out, a daemon that alone held a version goes from version 1 back to 0 in a restart with the log out; with it, it does not put the version in force.

Real processes come next.

--- a/packages/spread/src/acaciayard_spread/_links.py
+++ b/packages/spread/src/acaciayard_spread/_links.py
@@ -83,6 +83,16 @@
     def _on_member(self, before: Member | None, now: Member) -> None:
         if before is None or before.is_present != now.is_present or before.control != now.control:
             self._topology_changed.notify()
+        if before is None or not before.is_present:
+            return
+        if not now.is_present or now.incarnation != before.incarnation:
+            self._end_session(now.host)
+
+    def _end_session(self, host: str) -> None:
+        """End the session with a host that is gone or has restarted without ending it itself."""
+        session = self._context.open.get(host)
+        if session is not None:
+            session.close()
 
     def _adapt(self) -> None:
         """Open and close links so that they are those that the topology asks for."""
--- a/packages/spread/src/acaciayard_spread/_recovery.py
+++ b/packages/spread/src/acaciayard_spread/_recovery.py
@@ -29,20 +29,31 @@
 
 #: Seconds for the answer of a feeder.
 _HEAD_WITHIN: Final = 2.0
+#: Seconds between two reads of the head.
+_APART: Final = 0.25
 #: Seconds for the answers of all daemons.
 _CENSUS_WITHIN: Final = 1.0
 #: Seconds before another try.
 _RETRY: Final = 0.5
 #: Seconds to meet other daemons before going on alone.
 _JOIN_WITHIN: Final = 5.0
+#: Seconds for which no new daemon must have been seen before the view counts as whole, and
+#: seconds after which it is used as it is.
+_QUIET_FOR: Final = 1.0
+_SETTLE_WITHIN: Final = 5.0
 
 
 class HeadReader:
-    """Reads the head of the log, once for all who ask while a read is under way."""
+    """Reads the head of the log, once for all who ask before the read starts.
 
-    def __init__(self, log: LogService, state: LogState) -> None:
+    Reads are a little apart, so that those who ask in a herd share them.
+    """
+
+    def __init__(self, log: LogService, state: LogState, timers: TimerService) -> None:
         self._log = log
         self._state = state
+        self._timers = timers
+        self._next_at = 0.0
         self._lock = anyio.Lock()
         self._started = 0
         self._last: HeadAnswer = HeadAnswer(-1, "not read yet")
@@ -53,6 +64,8 @@
         needed = self._started + 1
         async with self._lock:
             if self._done.count < needed:
+                await self._timers.sleep(self._next_at - self._timers.now())
+                self._next_at = self._timers.now() + _APART
                 self._started += 1
                 self._last = await self._ask()
                 self._done.notify()
@@ -121,6 +134,7 @@
     async def run(self) -> None:
         """Recover; returns when a configuration is in force."""
         await self._members.join(within=_JOIN_WITHIN)
+        await self._settle()
         self._joined.set()
         while self._holder.floor is None:
             floor = await self._find_floor()
@@ -134,6 +148,19 @@
                 await self._holder.changed.wait_beyond(seen)
         self._state = RecoveryState(is_done=True, reason=f"floor {self._holder.floor}")
 
+    async def _settle(self) -> None:
+        """Wait until the view of the mesh has stopped to grow.
+
+        When all daemons start at once the first ones see few others; acting on such a view, each
+        would take itself for a feeder and read the log.
+        """
+        table = self._members.table
+        with self._timers.timeout(_SETTLE_WITHIN):
+            seen = 1
+            while len(table.present()) > seen:
+                seen = len(table.present())
+                await self._timers.sleep(_QUIET_FOR * self._seed.uniform(0.8, 1.2))
+
     async def _find_floor(self) -> int | None:
         head = await self._ask_head()
         if head.head >= 0:
--- a/packages/spread/src/acaciayard_spread/_service.py
+++ b/packages/spread/src/acaciayard_spread/_service.py
@@ -61,7 +61,7 @@
             holder=holder,
             members=members,
             census=self._census,
-            heads=HeadReader(log, self._log_state),
+            heads=HeadReader(log, self._log_state, timers),
             port=port,
             timers=timers,
             seed=seed,
@@ -90,6 +90,11 @@
         """The sessions upstream."""
         return self._links
 
+    @property
+    def peers(self) -> frozenset[str]:
+        """Hosts with which a session is open, in either direction."""
+        return frozenset(self._context.open)
+
     @property
     def is_feeder(self) -> bool:
         """Whether this daemon reads the log for its failure domain."""
--- a/packages/spread/src/acaciayard_spread/_session.py
+++ b/packages/spread/src/acaciayard_spread/_session.py
@@ -83,6 +83,10 @@
                 del self._context.open[self._peer]
                 self._context.witnesses.forget(self._peer)
 
+    def close(self) -> None:
+        """End the session; `run` then raises `StreamLostError`."""
+        self._stream.channel.abort()
+
     # --- sending ------------------------------------------------------------------------------
 
     async def _send_all(self) -> None:
--- a/packages/standins/src/acaciayard_standins/__init__.py
+++ b/packages/standins/src/acaciayard_standins/__init__.py
@@ -1,6 +1,9 @@
 """Stand-ins for the platform: the log service and targets, with faults to switch on."""
 
 from ._announcer import Announcer
+from ._fake_log import FakeLog
+from ._fake_mesh import FakeDaemon, FakeMesh
+from ._fake_network import FakeNetwork, FakePort
 from ._log import Fault, LogStandIn, log_application
 from ._mesh import HostPlan, LocalMesh, MeshHost, riga_plan, several_domains
 from ._process import LogLine, ProcessError, StandInProcess
@@ -8,6 +11,11 @@
 
 __all__ = [
     "Announcer",
+    "FakeDaemon",
+    "FakeLog",
+    "FakeMesh",
+    "FakeNetwork",
+    "FakePort",
     "Fault",
     "HostPlan",
     "Journal",
--- a/packages/wire/src/acaciayard_wire/_control.py
+++ b/packages/wire/src/acaciayard_wire/_control.py
@@ -64,6 +64,12 @@
         self._listener: Listener | None = None
         self._datagrams: _DatagramProtocol | None = None
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._rejected = 0
+
+    @property
+    def rejected(self) -> int:
+        """Streams and datagrams so far that made no sense."""
+        return self._rejected
 
     @property
     def address(self) -> Address:
@@ -111,22 +117,30 @@
         self._tasks.start_soon(self._serve, stream)
 
     async def _serve(self, stream: ByteStream) -> None:
-        messages = MessageStream(stream, self._codec)
+        await self._serve_messages(MessageStream(stream, self._codec))
+
+    async def _serve_messages(self, messages: MessageStream) -> None:
         try:
             first = await messages.receive()
-            purpose, handler = self._stream_handlers[type(first)]
-            stream.assign(purpose)
+            registered = self._stream_handlers.get(type(first))
+            if registered is None:
+                raise MessageError(f"no part serves streams that start with {type(first).__name__}")
+            purpose, handler = registered
+            messages.channel.assign(purpose)
             await handler(first, messages)
-        except (StreamLostError, MessageError, KeyError):
-            pass  # the other end is gone, or speaks a protocol that is not ours
+        except StreamLostError:
+            pass  # the other end is gone; its own part sees to that
+        except MessageError:
+            self._rejected += 1
         finally:
-            stream.close()
+            messages.close()
 
     def _take_datagram(self, data: bytes, sender: Address) -> None:
         self._traffic.received(Purpose.MEMBERSHIP, len(data))
         try:
             message = self._codec.decode(data)
         except MessageError:
+            self._rejected += 1
             return
         handler = self._datagram_handlers.get(type(message))
         if handler is not None:
