Promises on calls: scenarios in a small language, run against real daemons

Cause: the promises on calls stood in code alone. Found, each by a scenario that failed first: - A keyed call right after the death of the key's home was refused for as long as membership took to notice. The next daemon in the rendezvous order is now asked; the log's order decides anyway.

--- a/packages/bench/src/acaciayard_bench/_latency.py
+++ b/packages/bench/src/acaciayard_bench/_latency.py
@@ -11,9 +11,8 @@
 import httpx
 from attrs import frozen
 
-from acaciayard_standins import HostPlan, LocalMesh, StandInProcess
+from acaciayard_standins import Caller, HostPlan, LocalMesh, StandInProcess
 
-from ._load import Caller
 from ._results import write_results
 
 __all__ = ["measure_latency"]
--- a/packages/calls/src/acaciayard_calls/_claimer.py
+++ b/packages/calls/src/acaciayard_calls/_claimer.py
@@ -39,6 +39,8 @@
 
 #: Streams of the log over which keys are spread.
 SHARDS: Final = 16
+#: Daemons that are asked in turn about a key.
+_HOMES: Final = 3
 #: Seconds for a claim.
 _CLAIM_WITHIN: Final = 2.0
 #: Seconds for the release of a claim.
@@ -169,21 +171,26 @@
         return NotRun(f"the key cannot be claimed: {answer.reason}", _RETRY_AFTER)
 
     async def _ask_home(self, request: ClaimRequest) -> ClaimAnswer:
-        answer = ClaimAnswer(False, b"", "", f"no answer within {_CLAIM_WITHIN:g} s")
+        """Ask the home of a key, or the next one where that is gone.
+
+        Which home is asked decides nothing; the order of the log does.
+        """
         with self._timers.timeout(_CLAIM_WITHIN):
-            home = self._home_of(request.key)
-            if home.host == self._table.own.host:
-                answer = await self._own_home(request.key).claim(request)
-            else:
-                answer = await self._ask(home, request, ClaimAnswer) or answer
-        return answer
+            for home in self._homes_of(request.key):
+                if home.host == self._table.own.host:
+                    return await self._own_home(request.key).claim(request)
+                answer = await self._ask(home, request, ClaimAnswer)
+                if answer is not None:
+                    return answer
+            return ClaimAnswer(False, b"", "", "no home of the key answers")
+        return ClaimAnswer(False, b"", "", f"no answer within {_CLAIM_WITHIN:g} s")
 
     async def release(self, claimed: Claimed) -> None:
         """Free the key of a call that has certainly not run; best effort."""
         self._store.finish(claimed.claim, None)
         request = ReleaseRequest(claimed.key, claimed.claim)
         with self._timers.timeout(_RELEASE_WITHIN):
-            home = self._home_of(claimed.key)
+            home = self._homes_of(claimed.key)[0]
             if home.host == self._table.own.host:
                 await self._own_home(claimed.key).release(request)
             else:
@@ -229,8 +236,9 @@
 
     # --- as a home ----------------------------------------------------------------------------
 
-    def _home_of(self, key: bytes) -> Member:
-        return rendezvous(f"claims:{_shard_of(key)}", self._table.present(), 1)[0]
+    def _homes_of(self, key: bytes) -> tuple[Member, ...]:
+        """The home of a key, and those that stand in for it."""
+        return rendezvous(f"claims:{_shard_of(key)}", self._table.present(), _HOMES)
 
     def _own_home(self, key: bytes) -> ClaimHome:
         shard = _shard_of(key)
--- a/packages/standins/src/acaciayard_standins/__init__.py
+++ b/packages/standins/src/acaciayard_standins/__init__.py
@@ -1,16 +1,21 @@
 """Stand-ins for the platform: the log service and targets, with faults to switch on."""
 
 from ._announcer import Announcer
+from ._caller import Caller, CallResult
 from ._fake_log import FakeLog
 from ._fake_mesh import FakeDaemon, FakeMesh
 from ._fake_network import FakeNetwork, FakePort
 from ._log import Fault, LogStandIn, log_application
 from ._mesh import HostPlan, LocalMesh, MeshHost, riga_plan, several_domains
 from ._process import LogLine, ProcessError, StandInProcess
+from ._scenario import ScenarioRun, run_scenario
+from ._scenario_language import Scenario, ScenarioError, Statement, read_scenario
 from ._target import Journal, TargetStandIn
 
 __all__ = [
     "Announcer",
+    "CallResult",
+    "Caller",
     "FakeDaemon",
     "FakeLog",
     "FakeMesh",
@@ -24,9 +29,15 @@
     "LogStandIn",
     "MeshHost",
     "ProcessError",
+    "Scenario",
+    "ScenarioError",
+    "ScenarioRun",
     "StandInProcess",
+    "Statement",
     "TargetStandIn",
     "log_application",
+    "read_scenario",
     "riga_plan",
+    "run_scenario",
     "several_domains",
 ]
--- a/packages/bench/src/acaciayard_bench/_load.py
+++ b/packages/standins/src/acaciayard_standins/_caller.py
@@ -38,6 +38,8 @@
     outcome: str = ""
     #: Whether the answer belongs to the call and is whole.
     is_whole: bool = False
+    #: Whether it is the kept answer of an earlier call with the same key.
+    is_replayed: bool = False
     #: Headers of the answer.
     headers: Headers = field(default=(), repr=False)
     #: Body of the answer.
@@ -99,6 +101,7 @@
             seconds=seconds,
             outcome=first_header(head.headers, b"x-outcome").decode(),
             is_whole=_is_whole(head.headers, token, body, answer),
+            is_replayed=bool(first_header(head.headers, b"x-replayed")),
             headers=head.headers,
             body=answer,
         )
