--- a/packages/api/src/acaciayard_api/_server.py
+++ b/packages/api/src/acaciayard_api/_server.py
@@ -25,6 +25,7 @@
         self.application: Starlette = Starlette()
         self._socket = socket.create_server((address, port), backlog=_BACKLOG)
         self._stopped = anyio.Event()
+        self._ended = anyio.Event()
 
     @property
     def port(self) -> int:
@@ -38,12 +39,16 @@
         config.accesslog = None
         config.errorlog = None
         config.graceful_timeout = _GRACE
-        await serve(
-            self.application,  # type: ignore[arg-type]
-            config,
-            shutdown_trigger=self._stopped.wait,
-        )
-
-    def stop(self) -> None:
-        """Take no more requests and let `run` return."""
+        try:
+            await serve(
+                self.application,  # type: ignore[arg-type]
+                config,
+                shutdown_trigger=self._stopped.wait,
+            )
+        finally:
+            self._ended.set()
+
+    async def stop(self) -> None:
+        """Take no more requests, and return when those under way have ended or had their time."""
         self._stopped.set()
+        await self._ended.wait()
--- /dev/null
+++ b/packages/calls/tests/test_admission.py
@@ -0,0 +1,138 @@
+"""The gate of a target."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from acaciayard_calls import Gate, NotRun, SlotHeld
+from acaciayard_timers import ManualTimers
+
+INTERACTIVE, NORMAL, BULK = range(3)
+
+
+class GateTest(unittest.TestCase):
+    def run_gate(
+        self,
+        body: Callable[[Gate, ManualTimers, anyio.abc.TaskGroup], Awaitable[None]],
+        slots: int = 6,
+        queue_length: int = 4,
+    ) -> None:
+        async def run() -> None:
+            timers = ManualTimers()
+            gate = Gate(slots=slots, queue_length=queue_length, timers=timers)
+            async with anyio.create_task_group() as tasks:
+                await body(gate, timers, tasks)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+    def take(self, gate: Gate, priority: int, count: int) -> list[SlotHeld]:
+        held = [gate.try_enter(priority, 100.0) for _ in range(count)]
+        self.assertTrue(all(isinstance(slot, SlotHeld) for slot in held))
+        return held  # type: ignore[return-value]
+
+    def test_lower_classes_leave_slots_to_higher_ones(self) -> None:
+        async def body(gate: Gate, _timers: ManualTimers, _tasks: anyio.abc.TaskGroup) -> None:
+            self.take(gate, BULK, 4)
+            self.assertIsNone(gate.try_enter(BULK, 100.0))
+            self.take(gate, NORMAL, 1)
+            self.assertIsNone(gate.try_enter(NORMAL, 100.0))
+            self.take(gate, INTERACTIVE, 1)
+            self.assertEqual(gate.running, 6)
+            self.assertIsNone(gate.try_enter(INTERACTIVE, 100.0))
+
+        self.run_gate(body)
+
+    def test_no_class_starves_while_all_wait(self) -> None:
+        async def body(gate: Gate, timers: ManualTimers, tasks: anyio.abc.TaskGroup) -> None:
+            admitted: list[int] = []
+
+            async def one(priority: int) -> None:
+                held = await gate.wait(priority, 1000.0)
+                assert isinstance(held, SlotHeld)
+                admitted.append(priority)
+                await timers.sleep(1.0)
+                held.release()
+
+            running = self.take(gate, INTERACTIVE, 6)
+            for priority in (BULK, NORMAL, INTERACTIVE):
+                for _ in range(40):
+                    tasks.start_soon(one, priority)
+            await timers.advance(0.1)
+            for slot in running:
+                slot.release()
+            await timers.advance(6.0)
+            first = admitted[:30]
+            self.assertGreater(first.count(INTERACTIVE), first.count(NORMAL))
+            self.assertGreater(first.count(NORMAL), 0)
+            self.assertGreater(first.count(BULK), 0)
+
+        self.run_gate(body, queue_length=200)
+
+    def test_full_queue_refuses_at_once_and_higher_classes_displace_lower_ones(self) -> None:
+        async def body(gate: Gate, timers: ManualTimers, tasks: anyio.abc.TaskGroup) -> None:
+            refused: list[NotRun] = []
+
+            async def bulk() -> None:
+                outcome = await gate.wait(BULK, 1000.0)
+                assert isinstance(outcome, NotRun)
+                refused.append(outcome)
+
+            self.take(gate, INTERACTIVE, 6)
+            for _ in range(4):
+                tasks.start_soon(bulk)
+            await timers.advance(0.01)
+            self.assertIsInstance(gate.try_enter(BULK, 1000.0), NotRun)
+            self.assertIsNone(gate.try_enter(INTERACTIVE, 1000.0))
+            await timers.advance(0.01)
+            self.assertEqual(len(refused), 1)
+            self.assertTrue(refused[0].is_overload)
+            self.assertGreater(refused[0].retry_after, 0)
+
+        self.run_gate(body)
+
+    def test_wait_beyond_the_deadline_is_refused_before_it_starts(self) -> None:
+        async def body(gate: Gate, timers: ManualTimers, _tasks: anyio.abc.TaskGroup) -> None:
+            self.take(gate, INTERACTIVE, 6)
+            refusal = gate.try_enter(INTERACTIVE, timers.now() + 0.001)
+            assert isinstance(refusal, NotRun)
+            self.assertIn("deadline", refusal.reason)
+
+        self.run_gate(body)
+
+    def test_closing_refuses_what_waits_and_leaves_what_runs(self) -> None:
+        async def body(gate: Gate, timers: ManualTimers, tasks: anyio.abc.TaskGroup) -> None:
+            outcomes: list[object] = []
+
+            async def one() -> None:
+                outcomes.append(await gate.wait(INTERACTIVE, 1000.0))
+
+            running = self.take(gate, INTERACTIVE, 6)
+            tasks.start_soon(one)
+            await timers.advance(0.01)
+            gate.close("the target drains")
+            await timers.advance(0.01)
+            self.assertEqual([type(outcome) for outcome in outcomes], [NotRun])
+            self.assertEqual(gate.running, 6)
+            running[0].release()
+            self.assertIsInstance(gate.try_enter(INTERACTIVE, 1000.0), NotRun)
+
+        self.run_gate(body)
+
+    def test_cancelled_waiter_loses_no_slot(self) -> None:
+        async def body(gate: Gate, timers: ManualTimers, tasks: anyio.abc.TaskGroup) -> None:
+            running = self.take(gate, INTERACTIVE, 6)
+            with anyio.CancelScope() as scope:
+                timers.call_at(1.0, scope.cancel)
+                tasks.start_soon(timers.advance, 2.0)
+                await gate.wait(INTERACTIVE, 1000.0)
+            self.assertEqual(gate.waiting, 0)
+            for slot in running:
+                slot.release()
+            self.assertEqual(gate.running, 0)
+            self.take(gate, INTERACTIVE, 6)
+
+        self.run_gate(body)
--- /dev/null
+++ b/packages/calls/tests/test_claims.py
@@ -0,0 +1,118 @@
+"""Claims of idempotency keys, decided by the order of the log."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from acaciayard_calls import ClaimAnswer, ClaimHome, ClaimRequest, ReleaseRequest
+from acaciayard_standins import FakeLog
+from acaciayard_timers import ManualTimers
+
+KEY = b"k" * 16
+
+
+def request(claim: bytes, key: bytes = KEY, host: str = "h") -> ClaimRequest:
+    return ClaimRequest(key, claim, host)
+
+
+class ClaimTest(unittest.TestCase):
+    def run_homes(
+        self, body: Callable[[FakeLog, ManualTimers, ClaimHome, ClaimHome], Awaitable[None]]
+    ) -> None:
+        async def run() -> None:
+            timers = ManualTimers()
+            log = FakeLog(timers)
+            homes = [ClaimHome("claims-0", log=log, timers=timers) for _ in range(2)]
+            await body(log, timers, *homes)
+
+        anyio.run(run)
+
+    async def ask(
+        self, timers: ManualTimers, *asked: tuple[ClaimHome, ClaimRequest]
+    ) -> list[ClaimAnswer]:
+        answers: dict[int, ClaimAnswer] = {}
+
+        async def one(index: int, home: ClaimHome, claim: ClaimRequest) -> None:
+            answers[index] = await home.claim(claim)
+
+        async with anyio.create_task_group() as tasks:
+            for index, (home, claim) in enumerate(asked):
+                tasks.start_soon(one, index, home, claim)
+            await timers.advance(2.0)
+        return [answers[index] for index in range(len(asked))]
+
+    def test_two_homes_grant_a_key_once(self) -> None:
+        async def body(
+            log: FakeLog, timers: ManualTimers, one: ClaimHome, other: ClaimHome
+        ) -> None:
+            answers = await self.ask(
+                timers, (one, request(b"1" * 16)), (other, request(b"2" * 16)), (one, request(b"3"))
+            )
+            self.assertEqual([a.granted for a in answers].count(True), 1)
+            self.assertEqual(len({a.holder for a in answers}), 1)
+
+        self.run_homes(body)
+
+    def test_home_that_was_paused_sees_what_another_one_wrote(self) -> None:
+        async def body(
+            log: FakeLog, timers: ManualTimers, paused: ClaimHome, other: ClaimHome
+        ) -> None:
+            await self.ask(timers, (paused, request(b"0", key=b"x" * 16)))
+            granted = await self.ask(timers, (other, request(b"1")))
+            late = await self.ask(timers, (paused, request(b"2")))
+            self.assertTrue(granted[0].granted)
+            self.assertEqual((late[0].granted, late[0].holder), (False, b"1"))
+
+        self.run_homes(body)
+
+    def test_lost_answers_of_the_log(self) -> None:
+        async def body(
+            log: FakeLog, timers: ManualTimers, one: ClaimHome, other: ClaimHome
+        ) -> None:
+            log.answers_to_lose = 1
+            answers = await self.ask(timers, (one, request(b"1")))
+            self.assertTrue(answers[0].granted)
+            answers = await self.ask(timers, (other, request(b"2")))
+            self.assertFalse(answers[0].granted)
+
+        self.run_homes(body)
+
+    def test_log_out_grants_nothing(self) -> None:
+        async def body(
+            log: FakeLog, timers: ManualTimers, one: ClaimHome, _other: ClaimHome
+        ) -> None:
+            log.is_down = True
+            answers = await self.ask(timers, (one, request(b"1")))
+            self.assertEqual((answers[0].granted, answers[0].holder), (False, b""))
+            self.assertTrue(answers[0].reason)
+
+        self.run_homes(body)
+
+    def test_released_claim_frees_its_key_and_is_void_for_ever(self) -> None:
+        async def body(
+            log: FakeLog, timers: ManualTimers, one: ClaimHome, other: ClaimHome
+        ) -> None:
+            await self.ask(timers, (one, request(b"1")))
+            await one.release(ReleaseRequest(KEY, b"1"))
+            answers = await self.ask(timers, (other, request(b"2")))
+            self.assertTrue(answers[0].granted)
+            await other.release(ReleaseRequest(KEY, b"3"))
+            await other.release(ReleaseRequest(KEY, b"2"))
+            answers = await self.ask(timers, (one, request(b"3")), (one, request(b"4")))
+            self.assertEqual([a.granted for a in answers], [False, True])
+
+        self.run_homes(body)
+
+    def test_claims_that_come_together_share_appends(self) -> None:
+        async def body(
+            log: FakeLog, timers: ManualTimers, one: ClaimHome, _other: ClaimHome
+        ) -> None:
+            asked = [(one, request(b"c%d" % i, key=b"%016d" % i)) for i in range(300)]
+            answers = await self.ask(timers, *asked)
+            self.assertTrue(all(answer.granted for answer in answers))
+            self.assertLess(one.appends, 5)
+
+        self.run_homes(body)
--- a/packages/daemon/src/acaciayard_daemon/_daemon.py
+++ b/packages/daemon/src/acaciayard_daemon/_daemon.py
@@ -87,7 +87,7 @@
         cut = self._under_way()
         self.call_server.close()
         await self.members.leave()
-        self.api.stop()
+        await self.api.stop()
         return cut
 
     def _under_way(self) -> int:
--- /dev/null
+++ b/packages/wire/tests/test_wire.py
@@ -0,0 +1,78 @@
+"""Codec and counters."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgpack
+from attrs import frozen
+
+from acaciayard_wire import Address, MessageCodec, MessageError, Purpose, Traffic
+
+
+@frozen
+class Plain:
+    number: int
+    share: float
+    texts: list[str]
+    data: bytes = b""
+
+
+@frozen
+class Inner:
+    name: str
+
+
+@frozen
+class Nested:
+    items: tuple[Inner, ...]
+
+
+CODEC = MessageCodec({1: Plain, 2: Nested})
+
+NONSENSE = (
+    b"",
+    b"\xc1",
+    msgpack.packb(5),
+    msgpack.packb([]),
+    msgpack.packb([9, 1]),
+    msgpack.packb([1, "x", 0.5, []]),
+    msgpack.packb([1, 1]),
+    msgpack.packb([2, [["a", "b"], 3]]),
+)
+
+
+class CodecTest(unittest.TestCase):
+    def test_messages_come_back(self) -> None:
+        for message in (Plain(1, 0.5, ["a"], b"x"), Nested((Inner("a"), Inner("b")))):
+            with self.subTest(message):
+                self.assertEqual(CODEC.decode(CODEC.encode(message)), message)
+
+    def test_nonsense_is_refused(self) -> None:
+        for data in NONSENSE:
+            with self.subTest(data), self.assertRaises(MessageError):
+                CODEC.decode(data)
+
+    def test_fields_of_a_later_release_are_passed_over(self) -> None:
+        data = msgpack.packb([1, 1, 0.5, [], b"", "later"])
+        self.assertEqual(CODEC.decode(data), Plain(1, 0.5, []))
+
+    def test_fields_of_an_earlier_release_have_defaults(self) -> None:
+        self.assertEqual(CODEC.decode(msgpack.packb([1, 1, 2, []])), Plain(1, 2, []))
+
+
+class TrafficTest(unittest.TestCase):
+    def test_calls_are_no_control_traffic(self) -> None:
+        traffic = Traffic()
+        traffic.sent(Purpose.SPREAD, 10)
+        traffic.received(Purpose.LOG, 5)
+        traffic.sent(Purpose.CALLS, 1000)
+        self.assertEqual(traffic.control_bytes(), 15)
+
+
+class AddressTest(unittest.TestCase):
+    def test_parse(self) -> None:
+        self.assertEqual(Address.parse("127.0.0.1:80"), Address("127.0.0.1", 80))
+        for text in ("x", "1.2.3.4:", ":x"):
+            with self.subTest(text), self.assertRaises(ValueError):
+                Address.parse(text)
