--- a/packages/bench/src/acaciayard_bench/_latency.py
+++ b/packages/bench/src/acaciayard_bench/_latency.py
@@ -14,8 +14,9 @@
 from acaciayard_standins import Caller, HostPlan, LocalMesh, StandInProcess
 
 from ._results import write_results
+from ._statistics import percentile
 
-__all__ = ["measure_latency"]
+__all__ = ["measure_latency", "publish_route", "wait_for_target"]
 
 #: The users' bound: milliseconds added for 99 calls in 100.
 BOUND_MS: Final = 0.62
@@ -35,11 +36,6 @@
     address: tuple[str, int]
 
 
-def _percentile(values: list[float], percent: float) -> float:
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(len(ordered) * percent / 100))]
-
-
 def _manifest() -> dict[str, Any]:
     service = {"name": "near", "queue_length": 1000}
     route = {"name": "work", "service": "near", "path": "/work", "idempotent": True}
@@ -78,10 +74,7 @@
     with LocalMesh(plans) as mesh:
         mesh.start()
         near, entry = mesh.hosts
-        answer = httpx.post(f"{near.api}/v1/changes", json=_manifest(), trust_env=False)
-        answer.raise_for_status()
-        for host in mesh.hosts:
-            host.wait_in_force(1)
+        publish_route(mesh)
         target = httpx.URL(near.target_url)
         direct = (target.host, target.port or 0)
         baselines = [
@@ -100,7 +93,7 @@
                 Path("own host", near.entry_address),
                 Path("other host", entry.entry_address),
             ]
-            _wait_for_target(entry.api)
+            wait_for_target(entry.api)
             took = anyio.run(_run, paths, calls, rate, seed, backend_options={"use_uvloop": True})
         finally:
             for baseline in baselines:
@@ -108,7 +101,16 @@
     return _report(took, calls=calls, rate=rate, out=out)
 
 
-def _wait_for_target(api: str) -> None:
+def publish_route(mesh: LocalMesh) -> None:
+    """Publish a route to the service `near` and wait until it is in force everywhere."""
+    answer = httpx.post(f"{mesh.hosts[0].api}/v1/changes", json=_manifest(), trust_env=False)
+    answer.raise_for_status()
+    for host in mesh.hosts:
+        host.wait_in_force(answer.json()["version"])
+
+
+def wait_for_target(api: str) -> None:
+    """Wait until a daemon knows of a target."""
     deadline = time.monotonic() + 10
     while time.monotonic() < deadline:
         members = httpx.get(f"{api}/v1/members", trust_env=False).json()
@@ -119,16 +121,16 @@
 
 
 def _report(took: dict[str, list[float]], *, calls: int, rate: float, out: str) -> bool:
-    direct = {p: _percentile(took["direct"], p) for p in _PERCENTILES}
+    direct = {p: percentile(took["direct"], p) for p in _PERCENTILES}
     added = {
-        name: {p: _percentile(values, p) - direct[p] for p in _PERCENTILES}
+        name: {p: percentile(values, p) - direct[p] for p in _PERCENTILES}
         for name, values in took.items()
     }
     click.echo(f"{calls} calls over each path at {rate:g} calls/s, interleaved; ms")
     header = "".join(f"{f'p{p:g}':>9}{f'p{p:g} +':>9}" for p in _PERCENTILES)
     click.echo(f"{'path':<20}{header}")
     for name, values in took.items():
-        cells = "".join(f"{_percentile(values, p):9.3f}{added[name][p]:9.3f}" for p in _PERCENTILES)
+        cells = "".join(f"{percentile(values, p):9.3f}{added[name][p]:9.3f}" for p in _PERCENTILES)
         click.echo(f"{name:<20}{cells}")
     ratio = added["other host"][50.0] / added["bare relay"][50.0]
     worst = added["other host"][99.0]
--- a/packages/bench/src/acaciayard_bench/_main.py
+++ b/packages/bench/src/acaciayard_bench/_main.py
@@ -4,6 +4,7 @@
 
 import sys
 from pathlib import Path
+from typing import Any
 
 import anyio
 import click
@@ -11,8 +12,14 @@
 from acaciayard_wire import Address
 
 from ._baselines import run_bare_relay, run_library_relay
+from ._call_cost import measure_call_cost
+from ._convergence import measure_convergence
 from ._demo import run_demo
+from ._fold_cost import measure_fold
 from ._latency import measure_latency
+from ._membership import measure_churn, measure_membership
+from ._peers import PeerPlan, run_peers
+from ._pollers import run_pollers
 
 __all__ = ["main"]
 
@@ -56,6 +63,90 @@
     sys.exit(0 if measure_latency(calls=calls, rate=rate, seed=seed, out=out) else 1)
 
 
+def _numbers(text: str) -> list[int]:
+    try:
+        return [int(part) for part in text.split(",")]
+    except ValueError as error:
+        raise click.BadParameter(f"{text!r} is no list of numbers such as 8,16") from error
+
+
+@main.command()
+@click.option("--sizes", default="8,16,32,64", show_default=True, help="Daemons.")
+@click.option("--idle", default=10.0, show_default=True, help="Seconds without changes.")
+@click.option("--changes", default=10, show_default=True, help="Changes, one a second.")
+@_out
+def convergence(sizes: str, idle: float, changes: int, out: str) -> None:
+    """Measure real daemons against every daemon polling the log."""
+    measure_convergence(_numbers(sizes), idle=idle, changes=changes, out=out)
+
+
+@main.command()
+@click.option("--sizes", default="100,200,400,810", show_default=True, help="Members.")
+@click.option("--idle", default=20.0, show_default=True, help="Seconds without changes.")
+@click.option("--changes", default=10, show_default=True, help="Changes, one a second.")
+@_seed
+@_out
+def membership(sizes: str, idle: float, changes: int, seed: int, out: str) -> None:
+    """Measure one real daemon among ever more light peers."""
+    measure_membership(_numbers(sizes), idle=idle, changes=changes, seed=seed, out=out)
+
+
+@main.command()
+@click.option("--members", default=810, show_default=True, help="Members in all.")
+@click.option("--per-day", default=1220.0, show_default=True, help="Restarts a day.")
+@click.option("--seconds", default=600.0, show_default=True, help="Length of the run.")
+@_seed
+@_out
+def churn(members: int, per_day: float, seconds: float, seed: int, out: str) -> None:
+    """Measure one real daemon while members restart, then a herd; exit status by the budgets."""
+    within = measure_churn(members, per_day=per_day, seconds=seconds, seed=seed, out=out)
+    sys.exit(0 if within else 1)
+
+
+@main.command()
+@click.option("--sizes", default="50,100,200,350,500", show_default=True, help="Routes.")
+@_out
+def fold(sizes: str, out: str) -> None:
+    """Measure what resources cost: time to fold, snapshot, memory."""
+    measure_fold(_numbers(sizes), out=out)
+
+
+@main.command()
+@click.option("--rates", default="40,80,160,320,500", show_default=True, help="Calls a second.")
+@click.option("--seconds", default=10.0, show_default=True, help="Seconds at each rate.")
+@_seed
+@_out
+def calls(rates: str, seconds: float, seed: int, out: str) -> None:
+    """Measure what calls cost an entry daemon and a target's daemon."""
+    rate_list = [float(rate) for rate in _numbers(rates)]
+    measure_call_cost(rate_list, seconds=seconds, seed=seed, out=out)
+
+
+@main.command(hidden=True)
+@click.argument("count", type=int)
+@click.argument("log_url")
+def pollers(count: int, log_url: str) -> None:
+    """Run the polling baseline."""
+    anyio.run(run_pollers, count, log_url, backend_options={"use_uvloop": True})
+
+
+@main.command(hidden=True)
+@click.option("--first", type=int)
+@click.option("--count", type=int)
+@click.option("--network")
+@click.option("--port", type=int)
+@click.option("--log-url")
+@click.option("--domains")
+@click.option("--services", type=int)
+@click.option("--seeds")
+@click.option("--seed", type=int)
+@click.option("--churn", type=float)
+def peers(churn: float, domains: str, seeds: str, **options: Any) -> None:
+    """Run light peers."""
+    plan = PeerPlan(domains=tuple(domains.split(",")), seeds=tuple(seeds.split(",")), **options)
+    anyio.run(run_peers, plan, churn, backend_options={"use_uvloop": True})
+
+
 @main.command(name="bare-relay", hidden=True)
 @click.argument("target")
 def bare_relay(target: str) -> None:
--- a/packages/membership/src/acaciayard_membership/_member.py
+++ b/packages/membership/src/acaciayard_membership/_member.py
@@ -5,7 +5,7 @@
 from enum import IntEnum
 from typing import Any
 
-from attrs import evolve, field, frozen
+from attrs import evolve, frozen
 
 from acaciayard_wire import Address
 
@@ -77,7 +77,7 @@
     #: Port for operators and for the targets on its host.
     api_port: int
     #: Targets on its host.
-    targets: tuple[TargetInfo, ...] = field(default=(), converter=tuple)
+    targets: tuple[TargetInfo, ...] = ()
 
     def with_changes(self, **changes: Any) -> Member:
         """A copy with some attributes changed."""
