--- a/packages/bench/src/acaciayard_bench/_main.py
+++ b/packages/bench/src/acaciayard_bench/_main.py
@@ -9,6 +9,7 @@
 import anyio
 import click
 
+from acaciayard_standins import random_run
 from acaciayard_wire import Address
 
 from ._baselines import run_bare_relay, run_library_relay
@@ -122,6 +123,16 @@
     measure_call_cost(rate_list, seconds=seconds, seed=seed, out=out)
 
 
+@main.command()
+@_seed
+@click.option("--seconds", default=60.0, show_default=True, help="Seconds with faults.")
+@click.option("--runs", default=1, show_default=True, help="Runs, each with the next seed.")
+def random(seed: int, seconds: float, runs: int) -> None:
+    """Make random calls under random faults and look for broken promises."""
+    verdicts = [random_run(seed=seed + run, seconds=seconds) for run in range(runs)]
+    sys.exit(1 if any(verdict.broken for verdict in verdicts) else 0)
+
+
 @main.command(hidden=True)
 @click.argument("count", type=int)
 @click.argument("log_url")
--- a/packages/calls/src/acaciayard_calls/_admission.py
+++ b/packages/calls/src/acaciayard_calls/_admission.py
@@ -79,7 +79,6 @@
         self._turns = list(_SHARES)
         self._mean_seconds = _FIRST_GUESS
         self._closed_because = ""
-        self._most_running = 0
 
     @property
     def slots(self) -> int:
@@ -180,7 +179,6 @@
     def _take(self, priority: int) -> SlotHeld:
         self._running[priority] += 1
         self._running_count += 1
-        self._most_running = max(self._most_running, self.running)
         return SlotHeld(priority, self._timers.now(), self)
 
     def _release(self, held: SlotHeld) -> None:
--- /dev/null
+++ b/packages/calls/src/acaciayard_calls/_answers.py
@@ -0,0 +1,119 @@
+"""Writes answers to a caller."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from acaciayard_http1 import (
+    BodyPart,
+    End,
+    Framing,
+    RequestHead,
+    chunk,
+    last_chunk,
+    response_bytes,
+)
+from acaciayard_timers import TimerService
+from acaciayard_wire import ByteStream, StreamLostError
+
+from ._call import UNKNOWN_LENGTH, Answer, NotRun, OutcomeUnknown
+from ._dispatcher import Attempt
+from ._refusals import not_run_bytes, unknown_bytes
+from ._router import Plan
+
+__all__ = ["AnswerWriter"]
+
+_BODILESS_STATUSES: Final = (204, 304)
+
+
+class AnswerWriter:
+    """The answers of one connection; `keeps_alive` tells whether it may be used again."""
+
+    def __init__(
+        self,
+        stream: ByteStream,
+        timers: TimerService,
+        keeps_alive: Callable[[RequestHead], bool],
+    ) -> None:
+        self._stream = stream
+        self._timers = timers
+        self._keeps_alive = keeps_alive
+
+    async def refuse(self, head: RequestHead, refusal: NotRun, status: int) -> None:
+        """Tell that the call has not run."""
+        await self._stream.send(
+            not_run_bytes(
+                refusal,
+                status=status,
+                keep_alive=self._keeps_alive(head),
+                bodiless=head.method == b"HEAD",
+            )
+        )
+
+    async def unknown(self, head: RequestHead, unknown: OutcomeUnknown, status: int) -> None:
+        """Tell that nobody knows whether the call has run."""
+        await self._stream.send(
+            unknown_bytes(
+                unknown,
+                status=status,
+                keep_alive=self._keeps_alive(head),
+                bodiless=head.method == b"HEAD",
+            )
+        )
+
+    async def whole(self, head: RequestHead, answer: Answer, extra: bytes = b"") -> None:
+        """Send an answer whose body is whole, with further rendered header fields."""
+        bodiless = head.method == b"HEAD" or answer.status in _BODILESS_STATUSES
+        data = response_bytes(
+            answer.status,
+            answer.fields + extra,
+            framing=Framing.SIZED,
+            length=len(answer.body),
+            keep_alive=self._keeps_alive(head),
+            bodiless=bodiless,
+        )
+        await self._stream.send(data if bodiless else data + answer.body)
+
+    async def relay(self, head: RequestHead, plan: Plan, answer: Answer, attempt: Attempt) -> None:
+        """Pass an answer on; a body that is cut ends in an aborted connection."""
+        if answer.is_whole:
+            await self.whole(head, answer)
+            return
+        framing = Framing.CHUNKED
+        if answer.length != UNKNOWN_LENGTH:
+            framing = Framing.SIZED
+        elif answer.ends_by_close or head.is_http10:
+            framing = Framing.UNTIL_CLOSE
+        await self._stream.send(
+            response_bytes(
+                answer.status,
+                answer.fields,
+                framing=framing,
+                length=answer.length,
+                keep_alive=self._keeps_alive(head),
+            )
+        )
+        try:
+            await self._relay_body(plan, attempt, framing)
+        except BaseException:
+            self._stream.abort()
+            raise
+        if framing is Framing.UNTIL_CLOSE:
+            self._stream.close()
+
+    async def _relay_body(self, plan: Plan, attempt: Attempt, framing: Framing) -> None:
+        is_chunked = framing is Framing.CHUNKED
+        while True:
+            match await self._next_answer_part(plan, attempt):
+                case BodyPart(data):
+                    await self._stream.send(chunk(data) if is_chunked else data)
+                case End(trailers):
+                    if is_chunked:
+                        await self._stream.send(last_chunk(trailers))
+                    return
+
+    async def _next_answer_part(self, plan: Plan, attempt: Attempt) -> BodyPart | End:
+        with self._timers.timeout(plan.timeout.idle_s):
+            return await attempt.exchange.next_part()
+        raise StreamLostError(f"the answer stood still for {plan.timeout.idle_s:g} s")
--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -18,15 +18,13 @@
     Limits,
     RequestHead,
     RequestReader,
-    chunk,
     first_header,
-    last_chunk,
     render_fields,
-    response_bytes,
 )
 from acaciayard_timers import TimerService
 from acaciayard_wire import ByteStream, StreamLostError
 
+from ._answers import AnswerWriter
 from ._budgets import CallerLimiter
 from ._call import (
     LARGEST_WHOLE_BODY,
@@ -41,7 +39,7 @@
 from ._dispatcher import ATTEMPT_HEADER, Answered, Attempt, Dispatcher
 from ._levels import ServiceLevels
 from ._local import DEADLINE_HEADER, end_to_end
-from ._refusals import fault_bytes, not_run_bytes, unknown_bytes
+from ._refusals import fault_bytes
 from ._router import Plan, Router
 
 __all__ = ["CallerConnection", "EntryContext"]
@@ -61,7 +59,6 @@
 #: read the answer.
 _LINGER: Final = 1.0
 _LINGER_BYTES: Final = 4 * 1024 * 1024
-_BODILESS_STATUSES: Final = (204, 304)
 _REPLACED_HEADERS: Final = (ATTEMPT_HEADER, DEADLINE_HEADER, DEPTH_HEADER, b"expect")
 _NO_ROUTE_RETRY_AFTER: Final = 1.0
 #: Largest answer that is kept for callers that repeat a call with a key.
@@ -114,6 +111,7 @@
         self._is_busy = False
         self._idle_since = self._timers.now()
         self._body_unread = False
+        self._answers = AnswerWriter(stream, context.timers, self._keeps_alive)
 
     @property
     def is_busy(self) -> bool:
@@ -138,6 +136,9 @@
         if not self._is_busy:
             self._stream.close()
 
+    def _keeps_alive(self, head: RequestHead) -> bool:
+        return head.keep_alive and not self._context.is_stopping and not self._body_unread
+
     async def run(self) -> None:
         """Serve requests until the caller closes or something ends the connection."""
         try:
@@ -180,14 +181,14 @@
                 await self._reader.next_part()
             await self._serve_checked(head)
         except _RejectedError as rejected:
-            await self._refuse(head, rejected.refusal, rejected.status)
+            await self._answers.refuse(head, rejected.refusal, rejected.status)
         finally:
             self._is_busy = False
             self._idle_since = self._timers.now()
         if self._body_unread:
             await self._linger()
             return False
-        return head.keep_alive and not self._context.is_stopping
+        return self._keeps_alive(head)
 
     async def _serve_checked(self, head: RequestHead) -> None:
         started = self._timers.now()
@@ -305,14 +306,14 @@
         match outcome:
             case Answered(answer, attempt):
                 try:
-                    await self._relay(head, plan, answer, attempt)
+                    await self._answers.relay(head, plan, answer, attempt)
                 finally:
                     attempt.close()
                 return answer.status < 500
             case NotRun():
-                await self._refuse(head, outcome, 503)
+                await self._answers.refuse(head, outcome, 503)
             case OutcomeUnknown():
-                await self._send_unknown(head, outcome, 504)
+                await self._answers.unknown(head, outcome, 504)
         return False
 
     # --- keys ---------------------------------------------------------------------------------
@@ -325,37 +326,35 @@
         claimer = self._context.claimer
         match await claimer.claim(scope, key):
             case NotRun() as refusal:
-                await self._refuse(head, refusal, 503)
+                await self._answers.refuse(head, refusal, 503)
                 return False
             case Taken() as taken:
                 return await self._repeat(head, call, taken)
             case Claimed() as claimed:
                 pass
-        outcome: Answered | NotRun | OutcomeUnknown = OutcomeUnknown("the call was broken off")
-        kept: Answer | None = None
+        kept: Answer | NotRun | None = None
         try:
             outcome = await self._context.dispatcher.run(
                 call, plan, router, CallWatch(), may_retry=False
             )
-            if isinstance(outcome, Answered) and _may_keep(outcome.answer):
-                kept = outcome.answer
+            kept = _kept_of(outcome)
         finally:
-            if not isinstance(outcome, NotRun):
-                claimer.store.finish(claimed.claim, kept)
-        if isinstance(outcome, NotRun):
-            await claimer.release(claimed)
+            claimer.finish(claimed, kept)
         return await self._finish(head, plan, outcome)
 
     async def _repeat(self, head: RequestHead, call: Call, taken: Taken) -> bool:
         """Answer a call whose key another call holds with the answer to that one."""
         remaining = max(0.0, call.deadline - self._timers.now())
-        answer = await self._context.claimer.earlier_answer(taken, within=remaining)
-        if answer is None:
-            reason = "a call with this key was made before, and its answer is not known"
-            await self._send_unknown(head, OutcomeUnknown(reason), 409)
-            return False
-        await self._send_whole(head, answer, extra=REPLAYED)
-        return answer.status < 500
+        match await self._context.claimer.earlier_answer(taken, within=remaining):
+            case Answer() as answer:
+                await self._answers.whole(head, answer, extra=REPLAYED)
+                return answer.status < 500
+            case NotRun() as refusal:
+                await self._answers.refuse(head, refusal, 503)
+            case None:
+                reason = "a call with this key was made before, and its answer is not known"
+                await self._answers.unknown(head, OutcomeUnknown(reason), 409)
+        return False
 
     # --- streaming bodies ---------------------------------------------------------------------
 
@@ -364,7 +363,7 @@
     ) -> bool:
         admitted = await self._context.dispatcher.admit(call, plan, router)
         if isinstance(admitted, NotRun):
-            await self._refuse(head, admitted, 503)
+            await self._answers.refuse(head, admitted, 503)
             return False
         try:
             if head.expects_continue:
@@ -403,89 +402,16 @@
             except StreamLostError:
                 return
 
-    # --- answers ------------------------------------------------------------------------------
-
-    def _keeps_alive(self, head: RequestHead) -> bool:
-        return head.keep_alive and not self._context.is_stopping and not self._body_unread
-
-    async def _refuse(self, head: RequestHead, refusal: NotRun, status: int) -> None:
-        await self._stream.send(
-            not_run_bytes(
-                refusal,
-                status=status,
-                keep_alive=self._keeps_alive(head),
-                bodiless=head.method == b"HEAD",
-            )
-        )
-
-    async def _send_unknown(self, head: RequestHead, unknown: OutcomeUnknown, status: int) -> None:
-        await self._stream.send(
-            unknown_bytes(
-                unknown,
-                status=status,
-                keep_alive=self._keeps_alive(head),
-                bodiless=head.method == b"HEAD",
-            )
-        )
-
-    async def _send_whole(self, head: RequestHead, answer: Answer, extra: bytes = b"") -> None:
-        bodiless = head.method == b"HEAD" or answer.status in _BODILESS_STATUSES
-        data = response_bytes(
-            answer.status,
-            answer.fields + extra,
-            framing=Framing.SIZED,
-            length=len(answer.body),
-            keep_alive=self._keeps_alive(head),
-            bodiless=bodiless,
-        )
-        await self._stream.send(data if bodiless else data + answer.body)
-
-    async def _relay(self, head: RequestHead, plan: Plan, answer: Answer, attempt: Attempt) -> None:
-        """Pass an answer on; a body that is cut ends in an aborted connection."""
-        if answer.is_whole:
-            await self._send_whole(head, answer)
-            return
-        framing = Framing.CHUNKED
-        if answer.length != UNKNOWN_LENGTH:
-            framing = Framing.SIZED
-        elif answer.ends_by_close or head.is_http10:
-            framing = Framing.UNTIL_CLOSE
-        await self._stream.send(
-            response_bytes(
-                answer.status,
-                answer.fields,
-                framing=framing,
-                length=answer.length,
-                keep_alive=self._keeps_alive(head),
-            )
-        )
-        try:
-            await self._relay_body(plan, attempt, framing)
-        except BaseException:
-            self._stream.abort()
-            raise
-        if framing is Framing.UNTIL_CLOSE:
-            self._stream.close()
-
-    async def _relay_body(self, plan: Plan, attempt: Attempt, framing: Framing) -> None:
-        is_chunked = framing is Framing.CHUNKED
-        while True:
-            match await self._next_answer_part(plan, attempt):
-                case BodyPart(data):
-                    await self._stream.send(chunk(data) if is_chunked else data)
-                case End(trailers):
-                    if is_chunked:
-                        await self._stream.send(last_chunk(trailers))
-                    return
-
-    async def _next_answer_part(self, plan: Plan, attempt: Attempt) -> BodyPart | End:
-        with self._timers.timeout(plan.timeout.idle_s):
-            return await attempt.exchange.next_part()
-        raise StreamLostError(f"the answer stood still for {plan.timeout.idle_s:g} s")
-
 
-def _may_keep(answer: Answer) -> bool:
-    return answer.is_whole and len(answer.body) <= _LARGEST_KEPT
+def _kept_of(outcome: Answered | NotRun | OutcomeUnknown) -> Answer | NotRun | None:
+    """What is kept for callers that repeat a call, `None` when nobody can tell how it ended."""
+    match outcome:
+        case Answered(answer) if answer.is_whole and len(answer.body) <= _LARGEST_KEPT:
+            return answer
+        case NotRun():
+            return outcome
+        case _:
+            return None
 
 
 def _length_of(head: RequestHead) -> int:
--- a/packages/calls/src/acaciayard_calls/_claimer.py
+++ b/packages/calls/src/acaciayard_calls/_claimer.py
@@ -8,6 +8,7 @@
 from typing import Final, TypeVar
 
 import anyio
+import anyio.abc
 from attrs import define, field, frozen
 
 from acaciayard_logservice import LogService
@@ -50,6 +51,7 @@
 _ENTRY_OVERHEAD: Final = 500
 _KEY_BYTES: Final = 16
 _RETRY_AFTER: Final = 1.0
+_FREED_SOON: Final = NotRun("the call with this key has not run, its key is free soon", 1.0)
 
 
 @frozen
@@ -75,7 +77,7 @@
 @define(eq=False)
 class _Entry:
     done: anyio.Event = field(factory=anyio.Event)
-    answer: Answer | None = None
+    answer: Answer | NotRun | None = None
 
 
 class AnswerStore:
@@ -90,8 +92,8 @@
         """A call is about to be made."""
         self._entries[claim] = _Entry()
 
-    def finish(self, claim: bytes, answer: Answer | None) -> None:
-        """The call has ended; `None` when no whole answer is known."""
+    def finish(self, claim: bytes, answer: Answer | NotRun | None) -> None:
+        """The call has ended; `None` when nobody can tell how."""
         entry = self._entries.get(claim)
         if entry is None:
             return
@@ -102,8 +104,8 @@
             _, dropped = self._entries.popitem(last=False)
             self._bytes -= _size_of(dropped)
 
-    async def find(self, claim: bytes, *, within: float) -> Answer | None:
-        """The answer of a call, waiting for its end; `None` when it is not kept."""
+    async def find(self, claim: bytes, *, within: float) -> Answer | NotRun | None:
+        """How a call ended, waiting for its end; `None` when that is not kept."""
         entry = self._entries.get(claim)
         if entry is None:
             return None
@@ -115,7 +117,7 @@
 def _size_of(entry: _Entry) -> int:
     if not entry.done.is_set() and entry.answer is None:
         return 0
-    return _ENTRY_OVERHEAD + (len(entry.answer.body) if entry.answer is not None else 0)
+    return _ENTRY_OVERHEAD + (len(entry.answer.body) if isinstance(entry.answer, Answer) else 0)
 
 
 class Claimer:
@@ -131,6 +133,7 @@
         self._homes: dict[int, ClaimHome] = {}
         self._store = AnswerStore(timers)
         self._pool = StreamPool(self._open, timers=timers)
+        self._tasks: anyio.abc.TaskGroup | None = None
         port.on_stream(ClaimRequest, Purpose.CLAIMS, self._serve)
         port.on_stream(ReleaseRequest, Purpose.CLAIMS, self._serve)
         port.on_stream(OutcomeRequest, Purpose.CLAIMS, self._serve)
@@ -151,8 +154,10 @@
         return sum(home.claims for home in self._homes.values())
 
     async def run(self) -> None:
-        """Keep the streams to homes in order, for ever."""
-        await self._pool.run()
+        """Keep the streams to homes in order and release claims, for ever."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            await self._pool.run()
 
     # --- for calls of this daemon -------------------------------------------------------------
 
@@ -185,9 +190,17 @@
             return ClaimAnswer(False, b"", "", "no home of the key answers")
         return ClaimAnswer(False, b"", "", f"no answer within {_CLAIM_WITHIN:g} s")
 
-    async def release(self, claimed: Claimed) -> None:
-        """Free the key of a call that has certainly not run; best effort."""
-        self._store.finish(claimed.claim, None)
+    def finish(self, claimed: Claimed, answer: Answer | NotRun | None) -> None:
+        """The call has ended; a key whose call has certainly not run is freed, best effort.
+
+        The caller has its answer at once, before the key is free; who repeats the call meanwhile
+        is told `NotRun` again.
+        """
+        self._store.finish(claimed.claim, answer)
+        if isinstance(answer, NotRun) and self._tasks is not None:
+            self._tasks.start_soon(self._release, claimed)
+
+    async def _release(self, claimed: Claimed) -> None:
         request = ReleaseRequest(claimed.key, claimed.claim)
         with self._timers.timeout(_RELEASE_WITHIN):
             home = self._homes_of(claimed.key)[0]
@@ -196,8 +209,8 @@
             else:
                 await self._ask(home, request, ClaimAnswer)
 
-    async def earlier_answer(self, taken: Taken, *, within: float) -> Answer | None:
-        """The answer of the call that holds a key, `None` when nobody has it."""
+    async def earlier_answer(self, taken: Taken, *, within: float) -> Answer | NotRun | None:
+        """How the call that holds a key ended, `None` when nobody can tell."""
         if taken.host == self._table.own.host:
             return await self._store.find(taken.claim, within=within)
         member = self._table.find(taken.host)
@@ -207,8 +220,10 @@
         with self._timers.timeout(within):
             request = OutcomeRequest(taken.claim, within)
             reply = await self._ask(member, request, OutcomeAnswer)
-        if reply is None or not reply.is_known:
+        if reply is None or not (reply.is_known or reply.is_not_run):
             return None
+        if reply.is_not_run:
+            return _FREED_SOON
         return Answer(reply.status, reply.fields, reply.body, True, len(reply.body))
 
     async def _ask(self, member: Member, request: object, expected: type[_Reply]) -> _Reply | None:
@@ -263,9 +278,9 @@
                 return ClaimAnswer(False, b"", "", "released")
             case OutcomeRequest(claim, within):
                 answer = await self._store.find(claim, within=within)
-                if answer is None:
-                    return OutcomeAnswer(False, 0, b"", b"")
-                return OutcomeAnswer(True, answer.status, answer.fields, answer.body)
+                if isinstance(answer, Answer):
+                    return OutcomeAnswer(True, answer.status, answer.fields, answer.body)
+                return OutcomeAnswer(False, 0, b"", b"", is_not_run=answer is not None)
             case other:
                 raise MessageError(f"unexpected {type(other).__name__} about claims")
 
--- a/packages/calls/src/acaciayard_calls/_messages.py
+++ b/packages/calls/src/acaciayard_calls/_messages.py
@@ -182,6 +182,8 @@
     fields: bytes
     #: The whole body.
     body: bytes
+    #: Whether the call has certainly not run.
+    is_not_run: bool = False
 
 
 CLAIM_MESSAGES: Final[dict[int, type]] = {
--- a/packages/daemon/src/acaciayard_daemon/_build.py
+++ b/packages/daemon/src/acaciayard_daemon/_build.py
@@ -255,6 +255,7 @@
             calls=call_server,
             dispatcher=dispatcher,
             claimer=claimer,
+            port=port,
         )
         api.application = api_application(
             ApiContext(
--- a/packages/daemon/src/acaciayard_daemon/_status.py
+++ b/packages/daemon/src/acaciayard_daemon/_status.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any, Final
 
+from attrs import frozen
 from hdrh.histogram import HdrHistogram
 
 from acaciayard_calls import CallServer, Claimer, Dispatcher, EntryServer, LocalTargets
@@ -15,7 +16,7 @@
 from acaciayard_membership import MemberTable
 from acaciayard_spread import Invariants, Spread
 from acaciayard_timers import PauseDetector
-from acaciayard_wire import Traffic
+from acaciayard_wire import ControlPort, Traffic
 
 __all__ = ["StatusSources", "status_view"]
 
@@ -23,35 +24,34 @@
 _PAGE: Final = resource.getpagesize()
 
 
+@frozen
 class StatusSources:
     """The parts that the status is read from."""
 
-    def __init__(
-        self,
-        *,
-        table: MemberTable,
-        spread: Spread,
-        log: HttpLogService,
-        traffic: Traffic,
-        pause: PauseDetector,
-        invariants: Invariants,
-        targets: LocalTargets,
-        entry: EntryServer,
-        calls: CallServer,
-        dispatcher: Dispatcher,
-        claimer: Claimer,
-    ) -> None:
-        self.table = table
-        self.spread = spread
-        self.log = log
-        self.traffic = traffic
-        self.pause = pause
-        self.invariants = invariants
-        self.targets = targets
-        self.entry = entry
-        self.calls = calls
-        self.dispatcher = dispatcher
-        self.claimer = claimer
+    #: Who else is there.
+    table: MemberTable
+    #: What this daemon holds and has in force.
+    spread: Spread
+    #: The log, with its counters.
+    log: HttpLogService
+    #: Bytes by purpose.
+    traffic: Traffic
+    #: Pauses of the process.
+    pause: PauseDetector
+    #: Promises that were found broken.
+    invariants: Invariants
+    #: Targets on this host.
+    targets: LocalTargets
+    #: Calls from callers.
+    entry: EntryServer
+    #: Calls from other daemons.
+    calls: CallServer
+    #: Retries.
+    dispatcher: Dispatcher
+    #: Claims.
+    claimer: Claimer
+    #: Streams and datagrams of daemons.
+    port: ControlPort
 
 
 def status_view(sources: StatusSources, convergence: Any) -> dict[str, Any]:
@@ -81,6 +81,7 @@
         "members": dict(sorted(domains.items())),
         "violations": dict(sources.invariants.violations),
         "pauses": sources.pause.pauses,
+        "rejected_messages": sources.port.rejected,
         "convergence": _histogram_view(convergence),
         "control_bytes": sources.traffic.control_bytes(),
         "traffic": {
--- a/packages/standins/src/acaciayard_standins/__init__.py
+++ b/packages/standins/src/acaciayard_standins/__init__.py
@@ -8,6 +8,7 @@
 from ._log import Fault, LogStandIn, log_application
 from ._mesh import HostPlan, LocalMesh, MeshHost, riga_plan, several_domains
 from ._process import LogLine, ProcessError, StandInProcess
+from ._random_run import RandomRun, Verdict, random_run
 from ._scenario import ScenarioRun, run_scenario
 from ._scenario_language import Scenario, ScenarioError, Statement, read_scenario
 from ._target import Journal, TargetStandIn
@@ -29,13 +30,16 @@
     "LogStandIn",
     "MeshHost",
     "ProcessError",
+    "RandomRun",
     "Scenario",
     "ScenarioError",
     "ScenarioRun",
     "StandInProcess",
     "Statement",
     "TargetStandIn",
+    "Verdict",
     "log_application",
+    "random_run",
     "read_scenario",
     "riga_plan",
     "run_scenario",
