Membership at 810: no work per update that grows with the members

Cause: one real daemon among 400 light peers (90 peers a process) knew 117 members after 60 s. The profile showed 47% of the time in rebuilding the list of present members for every update that came in, and 13% in counting lost ones; overloaded, daemons took each other for failed, refuted, and so made more updates. Ruled out: lost datagrams and rejected messages (none). Change: the table counts present members as it goes; witnesses and feeders look at membership only where it matters, and gather changes; news that others tell back counts as passed on; a daemon whose own probes fail in a row grows more patient before it suspects others. Conclusion: the light peers share cores, which a real mesh does not; the quadratic work was real.

--- a/packages/bench/src/acaciayard_bench/_crowd.py
+++ b/packages/bench/src/acaciayard_bench/_crowd.py
@@ -103,6 +103,7 @@
                     *("-m", "acaciayard_bench", "peers"),
                     *("--first", str(index * PEERS_PER_PROCESS)),
                     *("--count", str(min(PEERS_PER_PROCESS, peers - index * PEERS_PER_PROCESS))),
+                    *("--of", str(peers)),
                     *("--network", network, "--port", str(port), "--log-url", mesh.log_url),
                     *("--domains", ",".join(DOMAINS), "--services", str(services)),
                     *("--seeds", ",".join(seeds), "--seed", str(seed)),
--- a/packages/bench/src/acaciayard_bench/_main.py
+++ b/packages/bench/src/acaciayard_bench/_main.py
@@ -144,6 +144,7 @@
 @main.command(hidden=True)
 @click.option("--first", type=int)
 @click.option("--count", type=int)
+@click.option("--of", type=int)
 @click.option("--network")
 @click.option("--port", type=int)
 @click.option("--log-url")
--- a/packages/bench/src/acaciayard_bench/_peers.py
+++ b/packages/bench/src/acaciayard_bench/_peers.py
@@ -32,8 +32,8 @@
 
 __all__ = ["PeerPlan", "run_peers"]
 
-#: Seconds over which the peers of one process start.
-_START_OVER: Final = 3.0
+#: Peers of all processes that start in one second.
+_STARTS_PER_SECOND: Final = 45
 
 
 @frozen
@@ -44,6 +44,8 @@
     first: int
     #: How many.
     count: int
+    #: Peers of all processes.
+    of: int
     #: Start of the loopback addresses, such as `"127.40"`.
     network: str
     #: Control port of all of them.
@@ -94,7 +96,7 @@
     async def start_all(self) -> None:
         for number in range(self._plan.first, self._plan.first + self._plan.count):
             self.start(number)
-            await anyio.sleep(_START_OVER / self._plan.count)
+            await anyio.sleep(self._plan.of / self._plan.count / _STARTS_PER_SECOND)
 
     def start(self, number: int) -> None:
         self._scopes[number] = anyio.CancelScope()
--- a/packages/membership/src/acaciayard_membership/_detector.py
+++ b/packages/membership/src/acaciayard_membership/_detector.py
@@ -23,6 +23,8 @@
 
 #: Members that are asked to probe for us when a direct probe got no answer.
 _INDIRECT: Final = 3
+#: Failed probes in a row, less those answered, that make a daemon more patient.
+_MOST_DOUBT: Final = 3
 #: Bytes of news that ride on a probe.
 _UPDATE_BYTES: Final = 600
 
@@ -74,6 +76,7 @@
         self._relays: dict[int, tuple[int, Address]] = {}
         self._round: list[str] = []
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._doubt = 0
         self._position_listeners: list[Callable[[str, int], None]] = []
         port.on_datagram(Probe, self._on_probe)
         port.on_datagram(Ack, self._on_ack)
@@ -112,17 +115,28 @@
         self._waiting[number] = answered
         try:
             self._send_probe(number, member.control)
-            if await self._wait(answered, self._settings.direct_within):
+            if await self._wait(answered, self._settings.direct_within * self._patience):
+                self._doubt = max(0, self._doubt - 1)
                 return
             self._ask_others(number, member)
-            if await self._wait(answered, self._settings.indirect_within):
+            if await self._wait(answered, self._settings.indirect_within * self._patience):
                 return
         finally:
             del self._waiting[number]
+        self._doubt = min(_MOST_DOUBT, self._doubt + 1)
         self._pause.check()
         if self._pause.pauses == pauses:
             self._table.believe(member, MemberState.SUSPECT)
 
+    @property
+    def _patience(self) -> int:
+        """Factor for all times allowed to others.
+
+        It grows while probe after probe fails: it is then likelier that this daemon is slow, or
+        cut off, than that all others have failed.
+        """
+        return 1 + self._doubt
+
     async def _wait(self, answered: anyio.Event, seconds: float) -> bool:
         with self._timers.timeout(seconds):
             await answered.wait()
@@ -180,13 +194,14 @@
 
     def _merge(self, updates: Iterable[bytes]) -> None:
         for packed in updates:
-            self._table.merge(packed)
+            if not self._table.merge(packed):
+                self._gossip.heard(packed)
 
     # --- suspicion ----------------------------------------------------------------------------
 
     def _on_change(self, _before: Member | None, now: Member) -> None:
         if now.state == MemberState.SUSPECT and now.host != self._table.own.host:
-            due = self._timers.now() + self._settings.suspicion
+            due = self._timers.now() + self._settings.suspicion * self._patience
             pauses = self._pause.pauses
             self._timers.call_at(due, lambda: self._give_up(now, pauses))
 
--- a/packages/membership/src/acaciayard_membership/_gossip.py
+++ b/packages/membership/src/acaciayard_membership/_gossip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 import random
 from typing import Final
@@ -19,6 +20,8 @@
 _REPEATS_PER_DECADE: Final = 4
 #: Bytes of news in one datagram.
 _DATAGRAM_BYTES: Final = 1200
+#: Pieces of news in one datagram.
+_MOST_ITEMS: Final = 24
 #: Seconds between two rounds while there is news.
 _ROUND: Final = 0.2
 #: Members that are told in one round.
@@ -39,14 +42,25 @@
         return not self._left
 
     def _take(self, _before: Member | None, now: Member) -> None:
-        members = len(self._table.present()) + 1
-        decades = max(1, math.ceil(math.log10(members + 1)))
+        decades = max(1, math.ceil(math.log10(self._table.present_count + 1)))
         self._left[now.host] = _REPEATS_PER_DECADE * decades
 
+    def heard(self, packed: bytes) -> None:
+        """Another daemon has told what is known here: so far is the news already."""
+        host = self._table.host_of(packed)
+        if host is not None and host in self._left:
+            self._spend(host)
+
+    def _spend(self, host: str) -> None:
+        """Count a piece of news as passed on once more."""
+        self._left[host] -= 1
+        if self._left[host] <= 0:
+            del self._left[host]
+
     def next_updates(self, room: int = _DATAGRAM_BYTES) -> list[bytes]:
         """Packed news for one datagram; each item counts as passed on once more."""
         chosen: list[bytes] = []
-        for host in sorted(self._left, key=self._left.__getitem__, reverse=True):
+        for host in heapq.nlargest(_MOST_ITEMS, self._left, key=self._left.__getitem__):
             if self._table.find(host) is None:
                 del self._left[host]
                 continue
@@ -55,9 +69,7 @@
                 break
             room -= len(packed)
             chosen.append(packed)
-            self._left[host] -= 1
-            if self._left[host] <= 0:
-                del self._left[host]
+            self._spend(host)
         return chosen
 
 
--- a/packages/membership/src/acaciayard_membership/_table.py
+++ b/packages/membership/src/acaciayard_membership/_table.py
@@ -52,7 +52,8 @@
         self._started = timers.now()
         self._entries: dict[str, _Entry] = {}
         self._digests = [0] * BUCKETS
-        self._known: set[bytes] = set()
+        self._known: dict[bytes, str] = {}
+        self._present_count = 0
         self._listeners: list[Callable[[Member | None, Member], None]] = []
         self._own_host = own.host
         self._present: tuple[Member, ...] | None = None
@@ -78,6 +79,15 @@
             self._present = tuple(sorted(present, key=lambda member: member.host))
         return self._present
 
+    @property
+    def present_count(self) -> int:
+        """How many members count as running, this daemon included."""
+        return self._present_count
+
+    def host_of(self, packed: bytes) -> str | None:
+        """The host whose present record is `packed`, `None` when it is no present record."""
+        return self._known.get(packed)
+
     def others(self) -> Iterator[Member]:
         """Members that count as running, without this daemon."""
         return (member for member in self.present() if member.host != self._own_host)
@@ -188,7 +198,8 @@
         entry = self._entries.pop(host, None)
         if entry is not None:
             self._digests[_bucket_of(host)] ^= entry.digest
-            self._known.discard(entry.packed)
+            self._known.pop(entry.packed, None)
+            self._present_count -= entry.member.is_present
 
     def _store(self, member: Member, packed: bytes) -> None:
         before = self.find(member.host)
@@ -196,7 +207,8 @@
         digest = int.from_bytes(hashlib.blake2b(packed, digest_size=7).digest(), "big")
         self._entries[member.host] = _Entry(member, packed, digest, self._timers.now())
         self._digests[_bucket_of(member.host)] ^= digest
-        self._known.add(packed)
+        self._known[packed] = member.host
+        self._present_count += member.is_present
         self._present = None
         for listener in self._listeners:
             listener(before, member)
--- a/packages/spread/src/acaciayard_spread/_feeder.py
+++ b/packages/spread/src/acaciayard_spread/_feeder.py
@@ -8,7 +8,7 @@
 import anyio
 
 from acaciayard_logservice import Bounds, Expired, LogService, Slice, Unavailable
-from acaciayard_membership import MemberTable
+from acaciayard_membership import Member, MemberTable
 from acaciayard_resources import SnapshotRecord, decode_record
 from acaciayard_timers import Signal, TimerService
 
@@ -24,6 +24,8 @@
 _LIMIT: Final = 512
 #: Seconds that the log may wait for a new record.
 _LONG_POLL: Final = 10.0
+#: Seconds by which changes of membership are gathered before the role is looked at again.
+_SETTLE: Final = 0.2
 #: Seconds before another try while the log does not answer.
 _RETRY: Final = 0.5
 
@@ -66,13 +68,17 @@
         self._timers = timers
         self._seed = seed
         self._members_changed = Signal()
-        table.subscribe(lambda _before, _now: self._members_changed.notify())
+        table.subscribe(self._on_member)
 
     @property
     def is_active(self) -> bool:
         """Whether this daemon reads the log."""
         return is_feeder(self._table.own, self._table.present())
 
+    def _on_member(self, before: Member | None, now: Member) -> None:
+        if before is None or before.is_present != now.is_present:
+            self._members_changed.notify()
+
     async def run(self) -> None:
         """Read for ever, whenever this daemon is a feeder."""
         while True:
@@ -81,6 +87,7 @@
                 await self._read_while_active()
             else:
                 await self._members_changed.wait_beyond(seen)
+                await self._timers.sleep(_SETTLE)
 
     async def _read_while_active(self) -> None:
         async with anyio.create_task_group() as tasks:
@@ -88,6 +95,7 @@
             seen = self._members_changed.count
             while self.is_active:
                 seen = await self._members_changed.wait_beyond(seen)
+                await self._timers.sleep(_SETTLE)
             tasks.cancel_scope.cancel()
 
     async def _follow(self) -> None:
--- a/packages/spread/src/acaciayard_spread/_recovery.py
+++ b/packages/spread/src/acaciayard_spread/_recovery.py
@@ -157,8 +157,8 @@
         table = self._members.table
         with self._timers.timeout(_SETTLE_WITHIN):
             seen = 1
-            while len(table.present()) > seen:
-                seen = len(table.present())
+            while table.present_count > seen:
+                seen = table.present_count
                 await self._timers.sleep(_QUIET_FOR * self._seed.uniform(0.8, 1.2))
 
     async def _find_floor(self) -> int | None:
--- a/packages/spread/src/acaciayard_spread/_witnesses.py
+++ b/packages/spread/src/acaciayard_spread/_witnesses.py
@@ -9,7 +9,7 @@
 
 from typing import Final
 
-from acaciayard_membership import MemberTable
+from acaciayard_membership import Member, MemberTable
 from acaciayard_timers import TimerService
 
 from ._holder import Holder
@@ -31,14 +31,20 @@
         self._table = table
         self._timers = timers
         self._positions: dict[str, int] = {}
-        table.subscribe(lambda _before, _now: self.evaluate())
+        table.subscribe(self._on_member)
 
     def needed(self) -> int:
         """How many witnesses a version needs now; fewer only where fewer daemons exist."""
-        others = len(self._table.present()) - 1
-        others += len(self._table.lost_since(self._timers.now() - _LOST_COUNTS_FOR))
+        others = self._table.present_count - 1
+        if others < WITNESSES:
+            others += len(self._table.lost_since(self._timers.now() - _LOST_COUNTS_FOR))
         return min(WITNESSES, max(others, 0))
 
+    def _on_member(self, _before: Member | None, _now: Member) -> None:
+        """Fewer witnesses may be needed now; with many daemons that never changes."""
+        if self._table.present_count <= WITNESSES + 1:
+            self.evaluate()
+
     def note(self, host: str, position: int) -> None:
         """Another daemon has told that it holds all records before `position`."""
         if host != self._table.own.host:
