--- a/packages/calls/src/acaciayard_calls/_admission.py
+++ b/packages/calls/src/acaciayard_calls/_admission.py
@@ -22,6 +22,8 @@
 
 #: Turns that each priority class gets while others wait too.
 _SHARES: Final = (16, 4, 1)
+#: Part of the queue that each class has for itself, as a divisor.
+_RESERVE_DIVISOR: Final = 8
 #: Weight of the latest call in the mean time that a call takes.
 _SMOOTHING: Final = 0.1
 #: Seconds that a call is taken to need before any has ended.
@@ -213,16 +215,21 @@
         expected = self._mean_seconds * (ahead + 1) / max(1, self._slots)
         if self._timers.now() + expected >= deadline:
             return self._overload("it would wait for a slot beyond its deadline")
-        if self.waiting < self._queue_length:
+        if self.waiting < self._queue_length or len(self._waiting[priority]) < self._reserve:
             return None
         if not self._evict_below(priority):
             return self._overload(f"{self.waiting} calls wait already")
         return None
 
+    @property
+    def _reserve(self) -> int:
+        """Places in the queue that each class has for itself, so that none is kept out for long."""
+        return self._queue_length // _RESERVE_DIVISOR
+
     def _evict_below(self, priority: int) -> bool:
         """Refuse the latest waiter of the lowest class below `priority`; false when none is."""
         for lower in range(len(PRIORITIES) - 1, priority, -1):
-            if self._waiting[lower]:
+            if len(self._waiting[lower]) > self._reserve:
                 waiter = self._waiting[lower].pop()
                 self._refuse(waiter, self._overload("calls of a higher class came"))
                 return True
--- a/packages/calls/src/acaciayard_calls/_answers.py
+++ b/packages/calls/src/acaciayard_calls/_answers.py
@@ -39,6 +39,12 @@
         self._stream = stream
         self._timers = timers
         self._keeps_alive = keeps_alive
+        self._is_mid_answer = False
+
+    @property
+    def is_mid_answer(self) -> bool:
+        """Whether an answer has begun whose body is not whole yet."""
+        return self._is_mid_answer
 
     async def refuse(self, head: RequestHead, refusal: NotRun, status: int) -> None:
         """Tell that the call has not run."""
@@ -85,6 +91,7 @@
             framing = Framing.SIZED
         elif answer.ends_by_close or head.is_http10:
             framing = Framing.UNTIL_CLOSE
+        self._is_mid_answer = True
         await self._stream.send(
             response_bytes(
                 answer.status,
@@ -99,6 +106,7 @@
         except BaseException:
             self._stream.abort()
             raise
+        self._is_mid_answer = False
         if framing is Framing.UNTIL_CLOSE:
             self._stream.close()
 
--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -152,6 +152,9 @@
             pass  # the caller is gone; there is nobody to tell
 
     async def _report_fault(self, group: ExceptionGroup[HttpError]) -> None:
+        if self._answers.is_mid_answer:
+            self._stream.abort()
+            return
         fault = group.exceptions[0]
         assert isinstance(fault, HttpError)
         try:
--- a/packages/calls/tests/test_admission.py
+++ b/packages/calls/tests/test_admission.py
@@ -94,6 +94,27 @@
 
         self.run_gate(body)
 
+    def test_lower_class_keeps_its_places_in_a_queue_full_of_higher_ones(self) -> None:
+        async def body(gate: Gate, timers: ManualTimers, tasks: anyio.abc.TaskGroup) -> None:
+            outcomes: list[object] = []
+
+            async def wait(priority: int) -> None:
+                if gate.try_enter(priority, 1000.0) is None:
+                    outcomes.append(await gate.wait(priority, 1000.0))
+
+            self.take(gate, INTERACTIVE, 6)
+            for _ in range(2):
+                tasks.start_soon(wait, BULK)
+            await timers.advance(0.01)
+            for _ in range(40):
+                tasks.start_soon(wait, INTERACTIVE)
+            await timers.advance(0.01)
+            self.assertEqual(outcomes, [])
+            self.assertEqual(gate.waiting, 16)
+            self.assertIsInstance(gate.try_enter(BULK, 1000.0), NotRun)
+
+        self.run_gate(body, queue_length=16)
+
     def test_wait_beyond_the_deadline_is_refused_before_it_starts(self) -> None:
         async def body(gate: Gate, timers: ManualTimers, _tasks: anyio.abc.TaskGroup) -> None:
             self.take(gate, INTERACTIVE, 6)
