Two ways in which a call that had run was told as not run

Cause: reading the dispatcher against the promise. 1. An idempotent call whose target answered 503 was tried again; when no other host was left, the caller got "not run: no target", although the first attempt had run. 2. An upload whose target's daemon stood still was told "not run" at its deadline, although that daemon had the call and might have admitted it. Ruled out: the same for calls with whole bodies; there the answer of a lost daemon is unknown already. Change: a failed attempt's answer is kept and told when nothing better comes; an unanswered admission is outcome_unknown once the call was handed over.

--- a/packages/calls/src/acaciayard_calls/_call.py
+++ b/packages/calls/src/acaciayard_calls/_call.py
@@ -133,6 +133,11 @@
     async def start(self) -> NotRun | None:
         """Hand the call over; the refusal where it could not be, so that it has not run."""
 
+    @property
+    @abstractmethod
+    def was_sent(self) -> bool:
+        """Whether anything that could make the call run has been sent."""
+
     @abstractmethod
     def abort(self) -> None:
         """Give the call up: what is awaited now, or later, ends at once.
--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -365,9 +365,8 @@
         self, head: RequestHead, call: Call, plan: Plan, router: Router
     ) -> bool:
         admitted = await self._context.dispatcher.admit(call, plan, router)
-        if isinstance(admitted, NotRun):
-            await self._answers.refuse(head, admitted, 503)
-            return False
+        if not isinstance(admitted, Attempt):
+            return await self._finish(head, plan, admitted)
         try:
             if head.expects_continue:
                 await self._stream.send(CONTINUE)
--- a/packages/calls/src/acaciayard_calls/_dispatcher.py
+++ b/packages/calls/src/acaciayard_calls/_dispatcher.py
@@ -124,7 +124,7 @@
         self._budgets.pay_in(plan.service.name, plan.retry.budget_percent)
         tried = 0
         refused: set[str] = set()
-        last: NotRun | OutcomeUnknown = _no_target(plan)
+        last: Answered | NotRun | OutcomeUnknown = _no_target(plan)
         while True:
             candidate = self._picker.pick(plan, router, avoid=refused)
             if candidate is None:
@@ -136,7 +136,7 @@
                     return Answered(outcome, attempt)
                 case NotRun():
                     attempt.exchange.close()
-                    last = outcome if not isinstance(last, OutcomeUnknown) else last
+                    last = outcome if isinstance(last, NotRun) else last
                     refused.add(candidate.host)
                     if watch.is_given_up or not self._may_offer_again(outcome, len(refused), plan):
                         return last
@@ -144,6 +144,8 @@
                 case OutcomeUnknown():
                     attempt.exchange.close()
                     last = outcome
+                case Answer():
+                    last = _kept_for_later(outcome, attempt)
             tried += 1
             if (
                 watch.is_given_up
@@ -198,7 +200,9 @@
 
     # --- calls whose body streams -------------------------------------------------------------
 
-    async def admit(self, call: Call, plan: Plan, router: Router) -> Attempt | NotRun:
+    async def admit(
+        self, call: Call, plan: Plan, router: Router
+    ) -> Attempt | NotRun | OutcomeUnknown:
         """Find a host that admits a call whose body is still to come."""
         refused: set[str] = set()
         last = _no_target(plan)
@@ -212,21 +216,39 @@
                 return attempt
             attempt.end(refusal)
             attempt.exchange.close()
+            if isinstance(refusal, OutcomeUnknown):
+                return refusal
             last = refusal
             refused.add(candidate.host)
             if not self._may_offer_again(refusal, len(refused), plan):
                 return last
 
-    async def _await_admission(self, attempt: Attempt, call: Call) -> NotRun | None:
+    async def _await_admission(
+        self, attempt: Attempt, call: Call
+    ) -> NotRun | OutcomeUnknown | None:
         try:
             with self._timers.timeout(call.deadline - self._timers.now()):
                 return await attempt.exchange.start() or await attempt.exchange.wait_admitted()
         except BaseException:
             attempt.close()
             raise
+        if attempt.exchange.was_sent:
+            return OutcomeUnknown(
+                "the target's daemon did not say in time whether it runs the call"
+            )
         return NotRun("no host admitted the call before its deadline", 1.0, is_overload=True)
 
 
+def _kept_for_later(answer: Answer, attempt: Attempt) -> Answered | OutcomeUnknown:
+    """What is told of a failed attempt when none after it comes further.
+
+    The call has run, so whatever refuses it later, it cannot be told as not run.
+    """
+    if answer.is_whole:
+        return Answered(answer, attempt)
+    return OutcomeUnknown(f"a target answered {answer.status} and no other host took the call")
+
+
 def _numbered(call: Call, tried: int) -> Call:
     """The call with the number of its attempt, for the services behind not to retry as well."""
     if tried == 0:
--- a/packages/calls/src/acaciayard_calls/_local.py
+++ b/packages/calls/src/acaciayard_calls/_local.py
@@ -82,7 +82,6 @@
 
     @property
     def was_sent(self) -> bool:
-        """Whether any byte of the call may have reached the target."""
         return self._sent
 
     @property
--- a/packages/calls/src/acaciayard_calls/_remote.py
+++ b/packages/calls/src/acaciayard_calls/_remote.py
@@ -48,6 +48,11 @@
         self._body_sent = call.is_whole
         self._load = -1.0
         self._is_aborted = False
+        self._sent = False
+
+    @property
+    def was_sent(self) -> bool:
+        return self._sent
 
     @property
     def load(self) -> float:
@@ -74,6 +79,7 @@
             priority=call.priority,
             budget=_budget(call.deadline - self._timers.now()),
         )
+        self._sent = True
         with contextlib.suppress(StreamLostError):  # the answer will not come: that says it
             self._stream.channel.send_nowait(CALL_CODEC.encode(head))
         return None
