--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -111,6 +111,7 @@
         self._is_busy = False
         self._idle_since = self._timers.now()
         self._body_unread = False
+        self._is_handed_over = False
         self._answers = AnswerWriter(stream, context.timers, self._keeps_alive)
 
     @property
@@ -128,7 +129,7 @@
         if self._reader.is_mid_head:
             with contextlib.suppress(StreamLostError):
                 late = HttpError(408, "the request came too slowly")
-                self._stream.send_nowait(fault_bytes(late))
+                self._stream.send_nowait(fault_bytes(late, may_have_run=False))
         self._stream.close()
 
     def close_if_idle(self) -> None:
@@ -158,7 +159,7 @@
         fault = group.exceptions[0]
         assert isinstance(fault, HttpError)
         try:
-            await self._stream.send(fault_bytes(fault))
+            await self._stream.send(fault_bytes(fault, may_have_run=self._is_handed_over))
             await self._linger()
         except StreamLostError:
             pass  # the caller is gone; there is nobody to tell
@@ -177,6 +178,7 @@
     async def _serve(self, head: RequestHead) -> bool:
         """Serve a request; whether the connection may be used again."""
         self._is_busy = True
+        self._is_handed_over = False
         self._body_unread = head.framing is not Framing.NONE
         self._context.served += 1
         try:
@@ -367,6 +369,7 @@
         admitted = await self._context.dispatcher.admit(call, plan, router)
         if not isinstance(admitted, Attempt):
             return await self._finish(head, plan, admitted)
+        self._is_handed_over = True
         try:
             if head.expects_continue:
                 await self._stream.send(CONTINUE)
--- a/packages/calls/src/acaciayard_calls/_refusals.py
+++ b/packages/calls/src/acaciayard_calls/_refusals.py
@@ -48,10 +48,11 @@
     return _answer(status, headers, body, keep_alive=keep_alive, bodiless=bodiless)
 
 
-def fault_bytes(fault: HttpError) -> bytes:
+def fault_bytes(fault: HttpError, *, may_have_run: bool) -> bytes:
     """The answer to a request that makes no sense; its connection is closed."""
-    body: dict[str, object] = {"outcome": "not_run", "reason": fault.reason}
-    headers = (_JSON, (OUTCOME_HEADER, b"not_run"))
+    outcome = "outcome_unknown" if may_have_run else "not_run"
+    body: dict[str, object] = {"outcome": outcome, "reason": fault.reason}
+    headers = (_JSON, (OUTCOME_HEADER, outcome.encode()))
     return _answer(fault.status, headers, body, keep_alive=False, bodiless=False)
 
 
--- a/packages/calls/tests/test_entry_process.py
+++ b/packages/calls/tests/test_entry_process.py
@@ -148,6 +148,21 @@
         answer = receive_all(connection)
         self.assertIn(hashlib.sha256(b"abc").hexdigest().encode(), answer)
 
+    def test_upload_that_turns_into_nonsense_is_not_told_as_not_run(self) -> None:
+        """The target has the head by then, so nobody can say that the call has not run."""
+        connection = self.connect(self.near)
+        connection.sendall(
+            b"POST /work HTTP/1.1\r\nHost: x\r\nx-token: nonsense\r\nExpect: 100-continue\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        self.assertEqual(connection.recv(100), b"HTTP/1.1 100 Continue\r\n\r\n")
+        self.wait(lambda: self.near.journal()["started"].get("nonsense") == 1)
+        connection.sendall(b"zz\r\n")
+        connection.shutdown(socket.SHUT_WR)
+        answer = receive_all(connection)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 400"), answer)
+        self.assertIn(b"x-outcome: outcome_unknown", answer)
+
     def test_deadline_is_answered_at_its_time(self) -> None:
         for host in self.mesh.hosts:
             with self.subTest(host.name):
