--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	$(BIN)/ruff check --quiet $(SOURCES)
 	$(BIN)/mypy $(addsuffix src,$(PACKAGES)) tools
 	$(BIN)/lint-imports
+	$(BIN)/python tools/write_reference.py --check
 
 format: $(VENV)/ready
 	$(BIN)/black --quiet $(SOURCES)
--- a/packages/calls/src/acaciayard_calls/__init__.py
+++ b/packages/calls/src/acaciayard_calls/__init__.py
@@ -7,7 +7,7 @@
 from ._claims import ClaimBook, ClaimHome, Holding
 from ._dispatcher import Answered, Attempt, Dispatcher
 from ._entry import EntryServer
-from ._levels import WINDOWS, LevelReport, ServiceLevels, burn_rate
+from ._levels import WINDOWS, LevelReport, ServiceLevels
 from ._local import LocalExchange
 from ._messages import CLAIM_MESSAGES, ClaimAnswer, ClaimRequest, ReleaseRequest
 from ._picker import Candidate, Picker
@@ -58,6 +58,5 @@
     "SlotHeld",
     "StreamPool",
     "Taken",
-    "burn_rate",
     "call_pool",
 ]
--- a/packages/calls/src/acaciayard_calls/_levels.py
+++ b/packages/calls/src/acaciayard_calls/_levels.py
@@ -12,7 +12,7 @@
 from acaciayard_resources import Service
 from acaciayard_timers import TimerService
 
-__all__ = ["WINDOWS", "LevelReport", "ServiceLevels", "burn_rate"]
+__all__ = ["WINDOWS", "LevelReport", "ServiceLevels"]
 
 #: Windows over which burn rates are told, in minutes.
 WINDOWS: Final = (5, 60, 360)
@@ -69,18 +69,6 @@
     histogram: str
 
 
-def burn_rate(good: int, bad: int, objective_percent: float) -> float:
-    """How many times faster than allowed the error budget is used; 1 uses it up exactly.
-
-    Example:
-
-        burn_rate(98, 2, 99.0)      # 2.0
-    """
-    calls = good + bad
-    allowed = 1 - objective_percent / 100
-    return (bad / calls) / allowed if calls and allowed > 0 else 0.0
-
-
 class ServiceLevels:
     """Counts calls by service as their callers saw them."""
 
--- a/packages/calls/tests/test_routing.py
+++ b/packages/calls/tests/test_routing.py
@@ -14,7 +14,6 @@
     Picker,
     RetryBudgets,
     Router,
-    burn_rate,
 )
 from acaciayard_membership import Member, MemberState, MemberTable, TargetInfo, TargetState
 from acaciayard_membership._messages import MEMBER_CODEC
@@ -219,13 +218,3 @@
         self.assertIsInstance(limiter.enter("c", rules), NotRun)
         limiter.leave("c")
         self.assertIsNone(limiter.enter("c", rules))
-
-    def test_burn_rate(self) -> None:
-        for good, bad, objective, expected in (
-            (98, 2, 99.0, 2.0),
-            (100, 0, 99.0, 0.0),
-            (0, 0, 99.0, 0.0),
-            (999, 1, 99.9, 1.0),
-        ):
-            with self.subTest(good=good, bad=bad):
-                self.assertAlmostEqual(burn_rate(good, bad, objective), expected)
--- a/packages/cli/src/acaciayard_cli/_apply.py
+++ b/packages/cli/src/acaciayard_cli/_apply.py
@@ -15,11 +15,9 @@
     Configuration,
     FindingsError,
     Manifest,
-    Place,
     Stored,
     changes_between,
     check,
-    key_of,
     parse_manifest,
     spec_of,
 )
@@ -55,14 +53,6 @@
         result = self._configuration.with_changes(stored=stored)
         return FindingsError.of(self._manifest.locate(finding) for finding in check(result))
 
-    def locate(self, path: str) -> Place:
-        """Where the resource of a finding's path stands."""
-        for resource in self._manifest.resources:
-            key = key_of(resource)
-            if path.startswith(f"{key.kind}.{key.name}"):
-                return self._manifest.places[key]
-        return Place(path=path)
-
 
 def plan_changes(client: ApiClient, path: Path, *, prune: bool) -> Planned:
     """Read a manifest and compare it; ends the program when either is not possible."""
--- a/packages/cli/tests/test_cli.py
+++ b/packages/cli/tests/test_cli.py
@@ -140,5 +140,12 @@
         self.assertIn("<svg", text)
         self.assertIn('class="look"', text)
 
-    def test_burn_rate_without_calls(self) -> None:
-        self.assertEqual(burn_rate(0, 0, 99.0), 0.0)
+    def test_burn_rate(self) -> None:
+        for good, bad, objective, expected in (
+            (98, 2, 99.0, 2.0),
+            (100, 0, 99.0, 0.0),
+            (0, 0, 99.0, 0.0),
+            (999, 1, 99.9, 1.0),
+        ):
+            with self.subTest(good=good, bad=bad):
+                self.assertAlmostEqual(burn_rate(good, bad, objective), expected)
--- a/packages/daemon/src/acaciayard_daemon/_build.py
+++ b/packages/daemon/src/acaciayard_daemon/_build.py
@@ -5,9 +5,12 @@
 import random
 import time
 from typing import Final
+from urllib.parse import urlsplit
 
 import anyio.abc
 import structlog
+from attrs import frozen
+from starlette.applications import Starlette
 
 from acaciayard_api import ApiContext, ApiServer, ChangeService, Progress, api_application
 from acaciayard_calls import (
@@ -19,6 +22,7 @@
     LocalTargets,
     Picker,
     ServiceLevels,
+    StreamPool,
     call_pool,
 )
 from acaciayard_logservice import HttpLogService, http_log_service
@@ -61,6 +65,22 @@
     return await _Builder(settings, logger, tasks).build()
 
 
+def _codec() -> MessageCodec:
+    """All messages that pass the control port."""
+    return MessageCodec({**MEMBERSHIP_MESSAGES, **SPREAD_MESSAGES, **CLAIM_MESSAGES})
+
+
+@frozen
+class _CallParts:
+    """The parts that callers' calls pass."""
+
+    entry: EntryServer
+    dispatcher: Dispatcher
+    claimer: Claimer
+    pool: StreamPool
+    levels: ServiceLevels
+
+
 class _Builder:
     """Makes the parts in the order in which they need each other."""
 
@@ -75,6 +95,7 @@
         self._tasks = tasks
         self._timers = EventLoopTimers()
         self._seed = random.Random()
+        self._log_host = urlsplit(settings.log.url).hostname or "log"
         self._traffic = Traffic()
         self._invariants = Invariants()
         self._pause = PauseDetector(self._timers, threshold=_PAUSE_THRESHOLD)
@@ -96,8 +117,8 @@
         return self._spread.recovery.state.reason
 
     def _count_log(self, sent: int, received: int) -> None:
-        self._traffic.sent(Purpose.LOG, sent)
-        self._traffic.received(Purpose.LOG, received)
+        self._traffic.sent(Purpose.LOG, sent, self._log_host)
+        self._traffic.received(Purpose.LOG, received, self._log_host)
 
     def _log_everywhere(self, change_id: str, progress: Progress) -> None:
         self._logger.info(
@@ -131,8 +152,7 @@
     async def build(self) -> Daemon:
         settings = self._settings
         ip = settings.host.address
-        codec = MessageCodec({**MEMBERSHIP_MESSAGES, **SPREAD_MESSAGES, **CLAIM_MESSAGES})
-        port = ControlPort(codec=codec, traffic=self._traffic, address=ip)
+        port = ControlPort(codec=_codec(), traffic=self._traffic, address=ip)
         log = http_log_service(settings.log.url, count=self._count_log)
         targets = LocalTargets(
             timers=self._timers,
@@ -149,7 +169,40 @@
         api = ApiServer(address=ip, port=settings.ports.api)
         members = self._membership(port, call_server.port, api.port)
         spreading = self._spreading(members, log, port)
-        return await self._calls_and_api(port, log, targets, call_server, api, members, spreading)
+        calls = self._calls(port, log, targets, members, spreading)
+        await calls.entry.open(ip, settings.ports.entry, self._tasks)
+        changes = self._changes(members, spreading, log)
+        sources = StatusSources(
+            table=members.table,
+            spread=spreading,
+            log=log,
+            traffic=self._traffic,
+            pause=self._pause,
+            invariants=self._invariants,
+            targets=targets,
+            entry=calls.entry,
+            calls=call_server,
+            dispatcher=calls.dispatcher,
+            claimer=calls.claimer,
+            port=port,
+        )
+        api.application = self._application(sources, calls, changes)
+        return Daemon(
+            settings=settings,
+            logger=self._logger,
+            timers=self._timers,
+            pause=self._pause,
+            port=port,
+            members=members,
+            spread=spreading,
+            targets=targets,
+            call_server=call_server,
+            entry=calls.entry,
+            claimer=calls.claimer,
+            pool=calls.pool,
+            changes=changes,
+            api=api,
+        )
 
     def _membership(self, port: ControlPort, call_port: int, api_port: int) -> Membership:
         settings = self._settings
@@ -201,22 +254,19 @@
         self._spread.holder.on_in_force(self._log_in_force)
         return self._spread
 
-    async def _calls_and_api(
+    def _calls(
         self,
         port: ControlPort,
         log: HttpLogService,
         targets: LocalTargets,
-        call_server: CallServer,
-        api: ApiServer,
         members: Membership,
         spreading: Spread,
-    ) -> Daemon:
-        settings = self._settings
-        levels = ServiceLevels(self._timers)
+    ) -> _CallParts:
         pool = call_pool(traffic=self._traffic, timers=self._timers)
+        levels = ServiceLevels(self._timers)
         claimer = Claimer(table=members.table, log=log, port=port, timers=self._timers)
         dispatcher = Dispatcher(
-            host=settings.host.name,
+            host=self._settings.host.name,
             picker=Picker(table=members.table, timers=self._timers, seed=self._seed),
             targets=targets,
             pool=pool,
@@ -234,8 +284,12 @@
         )
         spreading.holder.on_in_force(entry.use)
         spreading.holder.on_in_force(targets.use)
-        await entry.open(settings.host.address, settings.ports.entry, self._tasks)
-        changes = ChangeService(
+        return _CallParts(entry, dispatcher, claimer, pool, levels)
+
+    def _changes(
+        self, members: Membership, spreading: Spread, log: HttpLogService
+    ) -> ChangeService:
+        return ChangeService(
             spread=spreading,
             table=members.table,
             log=log,
@@ -243,44 +297,18 @@
             seed=self._seed,
             on_everywhere=self._log_everywhere,
         )
-        sources = StatusSources(
-            table=members.table,
-            spread=spreading,
-            log=log,
-            traffic=self._traffic,
-            pause=self._pause,
-            invariants=self._invariants,
-            targets=targets,
-            entry=entry,
-            calls=call_server,
-            dispatcher=dispatcher,
-            claimer=claimer,
-            port=port,
-        )
-        api.application = api_application(
+
+    def _application(
+        self, sources: StatusSources, calls: _CallParts, changes: ChangeService
+    ) -> Starlette:
+        return api_application(
             ApiContext(
-                table=members.table,
-                spread=spreading,
+                table=sources.table,
+                spread=sources.spread,
                 changes=changes,
-                targets=targets,
-                levels=levels,
+                targets=sources.targets,
+                levels=calls.levels,
                 timers=self._timers,
                 status=lambda: status_view(sources, changes.convergence),
             )
         )
-        return Daemon(
-            settings=settings,
-            logger=self._logger,
-            timers=self._timers,
-            pause=self._pause,
-            port=port,
-            members=members,
-            spread=spreading,
-            targets=targets,
-            call_server=call_server,
-            entry=entry,
-            claimer=claimer,
-            pool=pool,
-            changes=changes,
-            api=api,
-        )
--- a/packages/daemon/src/acaciayard_daemon/_status.py
+++ b/packages/daemon/src/acaciayard_daemon/_status.py
@@ -22,6 +22,7 @@
 
 _STATM: Final = Path("/proc/self/statm")
 _PAGE: Final = resource.getpagesize()
+_PEERS_SHOWN: Final = 10
 
 
 @frozen
@@ -88,6 +89,10 @@
             purpose.value: {"sent": totals.sent, "received": totals.received}
             for purpose, totals in sources.traffic.totals().items()
         },
+        "busiest_peers": [
+            {"peer": each.peer, "purpose": each.purpose.value, "bytes": each.count}
+            for each in sources.traffic.busiest_peers(_PEERS_SHOWN)
+        ],
         "calls": _calls_view(sources),
         "cpu_seconds": time.process_time(),
         "rss_bytes": _rss(),
--- a/packages/wire/src/acaciayard_wire/__init__.py
+++ b/packages/wire/src/acaciayard_wire/__init__.py
@@ -4,7 +4,7 @@
 from ._control import Address, ControlPort, DatagramHandler, StreamHandler
 from ._messages import MAX_MESSAGE_BYTES, MessageStream
 from ._stream import ByteStream, Listener, StreamLostError, connect, listen
-from ._traffic import Purpose, Traffic, TrafficTotals
+from ._traffic import PeerTraffic, Purpose, Traffic, TrafficTotals
 
 __all__ = [
     "MAX_MESSAGE_BYTES",
@@ -16,6 +16,7 @@
     "Listener",
     "MessageCodec",
     "MessageStream",
+    "PeerTraffic",
     "Purpose",
     "StreamHandler",
     "StreamLostError",
--- a/packages/wire/src/acaciayard_wire/_control.py
+++ b/packages/wire/src/acaciayard_wire/_control.py
@@ -136,7 +136,7 @@
             messages.close()
 
     def _take_datagram(self, data: bytes, sender: Address) -> None:
-        self._traffic.received(Purpose.MEMBERSHIP, len(data))
+        self._traffic.received(Purpose.MEMBERSHIP, len(data), sender.ip)
         try:
             message = self._codec.decode(data)
         except MessageError:
@@ -150,7 +150,7 @@
         """Send one message, without knowing whether it arrives."""
         assert self._datagrams is not None, "the port is not open yet"
         data = self._codec.encode(message)
-        self._traffic.sent(Purpose.MEMBERSHIP, len(data))
+        self._traffic.sent(Purpose.MEMBERSHIP, len(data), to.ip)
         self._datagrams.send(data, to)
 
     async def connect(self, to: Address, purpose: Purpose) -> MessageStream:
--- a/packages/wire/src/acaciayard_wire/_stream.py
+++ b/packages/wire/src/acaciayard_wire/_stream.py
@@ -40,6 +40,7 @@
         self._purpose = purpose
         self._on_open = on_open
         self._transport: asyncio.Transport | None = None
+        self._peer_ip = ""
         self._chunks: deque[bytes] = deque()
         self._buffered = 0
         self._ended = False
@@ -54,11 +55,13 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=_WRITE_HIGH)
+        name = transport.get_extra_info("peername")
+        self._peer_ip = str(name[0]) if name else ""
         if self._on_open is not None:
             self._on_open(self)
 
     def data_received(self, data: bytes) -> None:
-        self._traffic.received(self._purpose, len(data))
+        self._traffic.received(self._purpose, len(data), self._peer_ip)
         self._chunks.append(data)
         self._buffered += len(data)
         if self._buffered > _READ_HIGH and self._transport is not None:
@@ -144,7 +147,7 @@
         """Hand `data` to the socket without waiting; raises `StreamLostError`."""
         if self._lost or self._transport is None or self._transport.is_closing():
             raise StreamLostError(f"connection to {self.peer} is closed")
-        self._traffic.sent(self._purpose, len(data))
+        self._traffic.sent(self._purpose, len(data), self._peer_ip)
         self._transport.write(data)
 
     async def send(self, data: bytes) -> None:
--- a/packages/wire/src/acaciayard_wire/_traffic.py
+++ b/packages/wire/src/acaciayard_wire/_traffic.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Final
 
 from attrs import define, frozen
 
-__all__ = ["Purpose", "Traffic", "TrafficTotals"]
+__all__ = ["PeerTraffic", "Purpose", "Traffic", "TrafficTotals"]
+
+#: Peers by purpose that are counted apart; more are counted together.
+_MOST_PEERS: Final = 4096
+_OTHERS: Final = "others"
 
 
 class Purpose(Enum):
@@ -34,6 +39,18 @@
     received: int
 
 
+@frozen
+class PeerTraffic:
+    """Control bytes exchanged with one peer for one purpose."""
+
+    #: IP number of the peer, or `"others"` for those beyond the number that is kept apart.
+    peer: str
+    #: What they were for.
+    purpose: Purpose
+    #: Bytes sent and received.
+    count: int
+
+
 @define
 class _Counter:
     sent: int = 0
@@ -48,14 +65,30 @@
 
     def __init__(self) -> None:
         self._counters = {purpose: _Counter() for purpose in Purpose}
+        self._peers: dict[tuple[str, Purpose], int] = {}
 
-    def sent(self, purpose: Purpose, count: int) -> None:
-        """Add `count` bytes that were handed to a socket."""
+    def sent(self, purpose: Purpose, count: int, peer: str = "") -> None:
+        """Add `count` bytes that were handed to a socket, to the IP number `peer` if known."""
         self._counters[purpose].sent += count
+        if peer and purpose is not Purpose.CALLS:
+            self._count_peer(purpose, count, peer)
 
-    def received(self, purpose: Purpose, count: int) -> None:
-        """Add `count` bytes that were taken from a socket."""
+    def received(self, purpose: Purpose, count: int, peer: str = "") -> None:
+        """Add `count` bytes that were taken from a socket, from the IP number `peer` if known."""
         self._counters[purpose].received += count
+        if peer and purpose is not Purpose.CALLS:
+            self._count_peer(purpose, count, peer)
+
+    def _count_peer(self, purpose: Purpose, count: int, peer: str) -> None:
+        key = (peer, purpose)
+        if key not in self._peers and len(self._peers) >= _MOST_PEERS:
+            key = (_OTHERS, purpose)
+        self._peers[key] = self._peers.get(key, 0) + count
+
+    def busiest_peers(self, count: int) -> list[PeerTraffic]:
+        """Peers and purposes with the most control bytes in both directions, the most first."""
+        ordered = sorted(self._peers.items(), key=lambda item: item[1], reverse=True)
+        return [PeerTraffic(peer, purpose, size) for (peer, purpose), size in ordered[:count]]
 
     def totals(self) -> dict[Purpose, TrafficTotals]:
         """All counters as they stand."""
--- a/packages/wire/tests/test_wire.py
+++ b/packages/wire/tests/test_wire.py
@@ -69,6 +69,16 @@
         traffic.sent(Purpose.CALLS, 1000)
         self.assertEqual(traffic.control_bytes(), 15)
 
+    def test_peers_are_counted_apart_by_purpose(self) -> None:
+        traffic = Traffic()
+        traffic.sent(Purpose.SPREAD, 10, "10.0.0.1")
+        traffic.received(Purpose.SPREAD, 30, "10.0.0.1")
+        traffic.sent(Purpose.MEMBERSHIP, 5, "10.0.0.1")
+        traffic.sent(Purpose.CALLS, 1000, "10.0.0.2")
+        found = [(each.peer, each.purpose, each.count) for each in traffic.busiest_peers(9)]
+        expected = [("10.0.0.1", Purpose.SPREAD, 40), ("10.0.0.1", Purpose.MEMBERSHIP, 5)]
+        self.assertEqual(found, expected)
+
 
 class AddressTest(unittest.TestCase):
     def test_parse(self) -> None:
