The rule for restarts with the log out proved by a test that fails without it

Not caught: taking too few answers for enough after a single restart, because the sessions had caught up before the question was answered. Change: a test in which only daemons that are behind can answer; it runs the broken variant as well and sees it go from version 1 to 0.

--- a/packages/spread/tests/test_spread_failures.py
+++ b/packages/spread/tests/test_spread_failures.py
@@ -17,7 +17,14 @@
     encode_record,
     snapshot_of,
 )
-from acaciayard_spread import CONFIGURATION_STREAM, FEEDERS, LinkKeeper, SnapshotSettings, Witnesses
+from acaciayard_spread import (
+    CONFIGURATION_STREAM,
+    FEEDERS,
+    LinkKeeper,
+    Recovery,
+    SnapshotSettings,
+    Witnesses,
+)
 from acaciayard_standins import FakeMesh
 
 DOMAINS = ("riga-a", "riga-b", "jelgava", "sigulda")
@@ -167,6 +174,33 @@
 
         self.run_mesh(body)
 
+    def test_restart_among_daemons_that_are_behind_waits_for_one_that_can_tell(self) -> None:
+        """The second run takes every answer for enough, and goes back."""
+
+        async def body(mesh: FakeMesh) -> None:
+            await self.started(mesh)
+            few = {"h00", "h04", "h08"}
+            mesh.log.unreachable_from = set(mesh.daemons) - few
+            mesh.cut_off(few)
+            await mesh.advance(8)
+            mesh.propose("a", puts=service("novero"))
+            await mesh.advance(1)
+            self.assertEqual({h for h, v in mesh.versions().items() if v == 1}, few)
+            mesh.log.is_down = True
+            mesh.kill("h04")
+            mesh.cut_off(few - {"h04"})
+            mesh.start("h04")
+            await mesh.advance(20)
+            self.assertEqual(mesh.versions()["h04"], -1)
+            mesh.heal()
+            await mesh.advance(30)
+            self.assert_everywhere(mesh, 1)
+
+        self.run_mesh(body)
+        with mock.patch.object(Recovery, "_ask_members", mock.AsyncMock(return_value=0)):
+            with self.assertRaisesRegex(AssertionError, "h04 went back from version 1 to 0"):
+                self.run_mesh(body)
+
     def test_restart_of_all_with_the_log_out_does_not_serve_and_says_why(self) -> None:
         async def body(mesh: FakeMesh) -> None:
             await self.started(mesh)
