--- a/packages/bench/src/acaciayard_bench/_main.py
+++ b/packages/bench/src/acaciayard_bench/_main.py
@@ -18,6 +18,7 @@
 from ._demo import run_demo
 from ._fold_cost import measure_fold
 from ._latency import measure_latency
+from ._limits import measure_limits
 from ._membership import measure_churn, measure_membership
 from ._overload import measure_amplification, measure_overload
 from ._peers import PeerPlan, run_peers
@@ -124,6 +125,13 @@
     measure_call_cost(rate_list, seconds=seconds, seed=seed, out=out)
 
 
+@main.command()
+@_out
+def limits(out: str) -> None:
+    """Measure most calls a second, and memory with idle connections and large bodies."""
+    measure_limits(out=out)
+
+
 @main.command()
 @click.option("--seconds", default=10.0, show_default=True, help="Seconds at each load.")
 @_seed
