The end of a repair session does not forget a witness that another session still tells of

Cause: reading the sessions: two may be open with one host while a link is repaired; the end of either dropped that host as a witness, so that a version could wait for the next change to go in force. Change: sessions are counted by host. A session that only catches up gets 2 s instead of 5.

--- a/packages/spread/src/acaciayard_spread/_links.py
+++ b/packages/spread/src/acaciayard_spread/_links.py
@@ -28,7 +28,7 @@
 #: Seconds that another daemon may be ahead before it is asked directly.
 _BEHIND_FOR: Final = 0.4
 #: Seconds for a session that only catches up.
-_CATCH_UP_WITHIN: Final = 5.0
+_CATCH_UP_WITHIN: Final = 2.0
 
 
 @define
@@ -89,9 +89,8 @@
             self._end_session(now.host)
 
     def _end_session(self, host: str) -> None:
-        """End the session with a host that is gone or has restarted without ending it itself."""
-        session = self._context.open.get(host)
-        if session is not None:
+        """End sessions with a host that is gone or has restarted without ending them itself."""
+        for session in self._context.open.get(host, []):
             session.close()
 
     def _adapt(self) -> None:
--- a/packages/spread/src/acaciayard_spread/_service.py
+++ b/packages/spread/src/acaciayard_spread/_service.py
@@ -43,7 +43,7 @@
         self._log_state = LogState()
         table = members.table
         witnesses = Witnesses(holder, table, timers)
-        self._context = SessionContext(table.own.host, holder, witnesses, {})
+        self._context = SessionContext(table.own.host, holder, witnesses)
         self._links = LinkKeeper(
             context=self._context, members=members, port=port, timers=timers, seed=seed
         )
--- a/packages/spread/src/acaciayard_spread/_session.py
+++ b/packages/spread/src/acaciayard_spread/_session.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 import anyio
-from attrs import define
+from attrs import define, field
 
 from acaciayard_resources import SnapshotRecord, decode_record, encode_record, snapshot_of
 from acaciayard_wire import MessageError, MessageStream, StreamLostError
@@ -30,8 +30,20 @@
     holder: Holder
     #: Who else holds what.
     witnesses: Witnesses
-    #: Sessions that are open, by the other host.
-    open: dict[str, Session]
+    #: Sessions that are open, by the other host; while a link is repaired there may be two.
+    open: dict[str, list[Session]] = field(factory=dict)
+
+    def enter(self, session: Session) -> None:
+        """A session starts."""
+        self.open.setdefault(session.peer, []).append(session)
+
+    def leave(self, session: Session) -> None:
+        """A session is over; with the last one the other host is no witness any more."""
+        others = self.open[session.peer]
+        others.remove(session)
+        if not others:
+            del self.open[session.peer]
+            self.witnesses.forget(session.peer)
 
     def hello(self) -> Hello:
         """The greeting of this daemon as of now."""
@@ -69,7 +81,7 @@
         """
         if not self._holder.agrees(self._greeting.position, self._greeting.digest):
             raise MessageError(f"{self._peer} holds other records at one position")
-        self._context.open[self._peer] = self
+        self._context.enter(self)
         try:
             self._note_peer(self._greeting.position, self._greeting.confirmed)
             async with anyio.create_task_group() as tasks:
@@ -79,9 +91,7 @@
         except* (StreamLostError, MessageError) as group:
             raise StreamLostError(f"session with {self._peer}: {group.exceptions[0]}") from group
         finally:
-            if self._context.open.get(self._peer) is self:
-                del self._context.open[self._peer]
-                self._context.witnesses.forget(self._peer)
+            self._context.leave(self)
 
     def close(self) -> None:
         """End the session; `run` then raises `StreamLostError`."""
