--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Callable
 from typing import Final
 
 import anyio
-from attrs import define
 
 from acaciayard_http1 import (
     CONTINUE,
@@ -15,91 +13,43 @@
     End,
     Framing,
     HttpError,
-    Limits,
     RequestHead,
     RequestReader,
     first_header,
-    render_fields,
 )
-from acaciayard_timers import TimerService
 from acaciayard_wire import ByteStream, StreamLostError
 
 from ._answers import AnswerWriter
-from ._budgets import CallerLimiter
-from ._call import (
-    LARGEST_WHOLE_BODY,
-    UNKNOWN_LENGTH,
-    Answer,
-    Call,
-    CallWatch,
-    NotRun,
-    OutcomeUnknown,
+from ._call import LARGEST_WHOLE_BODY, Answer, Call, CallWatch, NotRun, OutcomeUnknown
+from ._claimer import Claimed, Taken
+from ._dispatcher import ATTEMPT_HEADER, Answered, Attempt
+from ._intake import (
+    CALLER_HEADER,
+    KEY_HEADER,
+    EntryContext,
+    RejectedError,
+    call_of,
+    is_small,
+    number_in,
+    plan_for,
 )
-from ._claimer import Claimed, Claimer, Taken
-from ._dispatcher import ATTEMPT_HEADER, Answered, Attempt, Dispatcher
-from ._levels import ServiceLevels
-from ._local import DEADLINE_HEADER, end_to_end
 from ._refusals import fault_bytes
 from ._router import Plan, Router
 
-__all__ = ["CallerConnection", "EntryContext"]
+__all__ = ["CallerConnection"]
 
-#: Header by which callers name themselves.
-CALLER_HEADER: Final = b"x-caller"
-#: Header with the idempotency key of a call.
-KEY_HEADER: Final = b"idempotency-key"
-#: Header that counts the calls behind one another; services pass it on.
-DEPTH_HEADER: Final = b"x-call-depth"
 #: Header that marks the kept answer of an earlier call with the same key.
 REPLAYED: Final = b"x-replayed: true\r\n"
-_DEEPEST: Final = 64
 #: Seconds that a connection may wait for its next request.
 _IDLE_FOR: Final = 75.0
 #: Seconds and bytes spent on reading the rest of a refused request, so that its sender gets to
 #: read the answer.
 _LINGER: Final = 1.0
 _LINGER_BYTES: Final = 4 * 1024 * 1024
-_REPLACED_HEADERS: Final = (ATTEMPT_HEADER, DEADLINE_HEADER, DEPTH_HEADER, b"expect")
-_NO_ROUTE_RETRY_AFTER: Final = 1.0
 #: Largest answer that is kept for callers that repeat a call with a key.
 _LARGEST_KEPT: Final = 256 * 1024
 
 
-@define
-class EntryContext:
-    """What all connections of callers share."""
-
-    #: Brings calls to targets.
-    dispatcher: Dispatcher
-    #: Claims idempotency keys.
-    claimer: Claimer
-    #: Limits by caller.
-    limiter: CallerLimiter
-    #: Counts how calls were answered.
-    levels: ServiceLevels
-    #: Time.
-    timers: TimerService
-    #: What a request may cost.
-    limits: Limits
-    #: Why no calls are served now, empty when they are.
-    not_serving: Callable[[], str]
-    #: Routes of the configuration in force; `None` until there is one.
-    router: Router | None = None
-    #: Whether connections end after their present request.
-    is_stopping: bool = False
-    #: Requests served.
-    served: int = 0
-
-
-class _RejectedError(Exception):
-    """The request is refused before it becomes a call."""
-
-    def __init__(self, status: int, refusal: NotRun) -> None:
-        super().__init__(refusal.reason)
-        self.status = status
-        self.refusal = refusal
-
-
 class CallerConnection:
     """Reads requests, has them run, and writes the answers, strictly in turn."""
 
@@ -185,7 +135,7 @@
             if not self._body_unread:
                 await self._reader.next_part()
             await self._serve_checked(head)
-        except _RejectedError as rejected:
+        except RejectedError as rejected:
             await self._answers.refuse(head, rejected.refusal, rejected.status)
         finally:
             self._is_busy = False
@@ -197,11 +147,11 @@
 
     async def _serve_checked(self, head: RequestHead) -> None:
         started = self._timers.now()
-        router, plan = self._plan(head)
+        router, plan = plan_for(head, self._context)
         caller = first_header(head.headers, CALLER_HEADER).decode("latin-1")
         refusal = self._context.limiter.enter(caller, plan.configuration)
         if refusal is not None:
-            raise _RejectedError(429, refusal)
+            raise RejectedError(429, refusal)
         is_answered = False
         try:
             is_answered = await self._run(head, plan, router, started)
@@ -211,64 +161,23 @@
                 plan.service, seconds=self._timers.now() - started, is_answered=is_answered
             )
 
-    def _plan(self, head: RequestHead) -> tuple[Router, Plan]:
-        """The plan for a request; raises `_RejectedError` or `HttpError`."""
-        hosts = [value for name, value in head.headers if name == b"host"]
-        if len(hosts) != 1 and not (head.is_http10 and not hosts):
-            raise HttpError(400, "a request needs exactly one Host header")
-        reason = self._context.not_serving()
-        router = self._context.router
-        if reason or router is None:
-            raise _RejectedError(503, NotRun(reason or "no configuration is in force", 1.0))
-        if _number(head, DEPTH_HEADER, 0) >= _DEEPEST:
-            raise _RejectedError(
-                508, NotRun(f"more than {_DEEPEST} calls behind one another", 60.0)
-            )
-        plan = router.match(
-            host=(hosts[0] if hosts else b"").decode("latin-1"),
-            path=head.path.decode("latin-1"),
-            method=head.method.decode("latin-1"),
-        )
-        if plan is None:
-            raise _RejectedError(404, NotRun("no route matches", _NO_ROUTE_RETRY_AFTER))
-        return router, plan
-
     async def _run(self, head: RequestHead, plan: Plan, router: Router, started: float) -> bool:
         """Run the call; whether a target answered it well."""
         key = first_header(head.headers, KEY_HEADER)
         if plan.route.key_required and not key:
-            raise _RejectedError(400, NotRun("this route needs an Idempotency-Key header", 60.0))
-        call = await self._call(head, plan, started)
+            raise RejectedError(400, NotRun("this route needs an Idempotency-Key header", 60.0))
+        is_keyed = bool(key) and not plan.route.idempotent
+        if is_keyed and not is_small(head):
+            reason = f"a call with a key needs a Content-Length up to {LARGEST_WHOLE_BODY}"
+            raise RejectedError(413, NotRun(reason, 60.0))
+        body = await self._read_whole(head, plan) if is_small(head) else b""
+        call = call_of(head, plan, started=started, body=body)
         if not call.is_whole:
-            if key and not plan.route.idempotent:
-                reason = f"the body of a call with a key must fit in {LARGEST_WHOLE_BODY} bytes"
-                raise _RejectedError(413, NotRun(reason, 60.0))
             return await self._run_streaming(head, call, plan, router)
-        if key and not plan.route.idempotent:
+        if is_keyed:
             return await self._run_keyed(head, call, plan, router, key)
         return await self._run_whole(head, call, plan, router)
 
-    async def _call(self, head: RequestHead, plan: Plan, started: float) -> Call:
-        seconds = plan.timeout.total_s
-        asked = _number(head, DEADLINE_HEADER, 0)
-        if asked > 0:
-            seconds = min(seconds, asked / 1000)
-        depth = _number(head, DEPTH_HEADER, 0) + 1
-        kept = tuple(f for f in end_to_end(head.headers) if f[0] not in _REPLACED_HEADERS)
-        length = _length_of(head)
-        is_whole = length <= LARGEST_WHOLE_BODY and length != UNKNOWN_LENGTH
-        return Call(
-            service=plan.service.name,
-            method=head.method,
-            target=head.target,
-            fields=b"%s%s: %d\r\n" % (render_fields(kept), DEPTH_HEADER, depth),
-            body=await self._read_whole(head, plan) if is_whole else b"",
-            is_whole=is_whole,
-            length=length,
-            priority=plan.priority,
-            deadline=started + seconds,
-        )
-
     async def _read_whole(self, head: RequestHead, plan: Plan) -> bytes:
         if not self._body_unread:
             return b""
@@ -294,7 +203,7 @@
     # --- whole bodies -------------------------------------------------------------------------
 
     async def _run_whole(self, head: RequestHead, call: Call, plan: Plan, router: Router) -> bool:
-        may_retry = _number(head, ATTEMPT_HEADER, 1) <= 1
+        may_retry = number_in(head, ATTEMPT_HEADER, 1) <= 1
         watch = CallWatch()
         self._stream.watch_lost(watch.give_up)
         try:
@@ -417,21 +326,3 @@
             return outcome
         case _:
             return None
-
-
-def _length_of(head: RequestHead) -> int:
-    if head.framing is Framing.NONE:
-        return 0
-    if head.framing is Framing.SIZED:
-        return int(first_header(head.headers, b"content-length"))
-    return UNKNOWN_LENGTH
-
-
-def _number(head: RequestHead, name: bytes, default: int) -> int:
-    """The value of a header that holds a whole number; raises `HttpError` for anything else."""
-    value = first_header(head.headers, name)
-    if not value:
-        return default
-    if not value.isdigit() or len(value) > 12:
-        raise HttpError(400, f"{name.decode()} must be a whole number")
-    return int(value)
--- a/packages/calls/src/acaciayard_calls/_entry.py
+++ b/packages/calls/src/acaciayard_calls/_entry.py
@@ -14,9 +14,10 @@
 from acaciayard_wire import ByteStream, Listener, Purpose, Traffic, listen
 
 from ._budgets import CallerLimiter
-from ._caller import CallerConnection, EntryContext
+from ._caller import CallerConnection
 from ._claimer import Claimer
 from ._dispatcher import Dispatcher
+from ._intake import EntryContext
 from ._levels import ServiceLevels
 from ._router import Router
 
