explain and events: from the id of a request, or the logs of many hosts, to the cause

The on-call engineers had to read key=value lines by hand. 'acaciayard explain ID FILE...' orders the lines of one request and of the calls that its run made over all hosts and tells the cause in a sentence; 'events' counts refusals by cause and lists what the daemons came to believe. Both read files or standard input, as text or JSON.

--- a/packages/cli/src/acaciayard_cli/_main.py
+++ b/packages/cli/src/acaciayard_cli/_main.py
@@ -5,8 +5,9 @@
 import getpass
 import json
 import sys
+from collections.abc import Iterator
 from pathlib import Path
-from typing import Any, Final
+from typing import Any, Final, TextIO
 
 import click
 from attrs import frozen
@@ -18,6 +19,8 @@
 from ._apply import apply_changes, plan_changes, print_plan
 from ._client import ApiAnswer, ApiClient, NoAnswer
 from ._exit import Exit
+from ._explain import explain, print_explanation, print_summary, summarize
+from ._log_lines import read_lines
 from ._output import fail, fail_with, print_findings, print_json, print_table
 from ._report import merge_levels, write_html
 
@@ -152,6 +155,34 @@
     return " ".join(parts)
 
 
+_logs = click.argument("logs", nargs=-1, type=click.File(errors="replace"))
+
+
+@main.command(name="explain")
+@click.argument("request")
+@_logs
+@click.pass_obj
+def explain_request(context: _Context, request: str, logs: tuple[TextIO, ...]) -> None:
+    """Tell from LOGS, or from standard input, why the request with id REQUEST ended as it did."""
+    explanation = explain(request, read_lines(_all_lines(logs)))
+    print_explanation(explanation, as_json=context.as_json)
+    if not explanation.lines:
+        sys.exit(Exit.INVALID)
+
+
+@main.command()
+@_logs
+@click.pass_obj
+def events(context: _Context, logs: tuple[TextIO, ...]) -> None:
+    """Summarize LOGS, or standard input: why calls failed, and what the daemons came to believe."""
+    print_summary(summarize(read_lines(_all_lines(logs))), as_json=context.as_json)
+
+
+def _all_lines(logs: tuple[TextIO, ...]) -> Iterator[str]:
+    for log in logs or (sys.stdin,):
+        yield from log
+
+
 @main.command()
 @click.argument("host")
 @click.option("--service", default="", help="Only the targets of this service.")
