--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -231,7 +231,7 @@
             domain=settings.failure_domain,
             ip=settings.control.ip,
             control_port=settings.control.port,
-            call_port=settings.calls.port,
+            call_port=(settings.calls_advertised or settings.calls).port,
             api_port=0,
             link_mbps=settings.link_mbps,
         )
--- a/packages/hosted/src/acaciayard_hosted/_settings.py
+++ b/packages/hosted/src/acaciayard_hosted/_settings.py
@@ -47,6 +47,9 @@
     metrics: Address
     #: The platform's store.
     store: Address
+    #: Where other daemons reach `calls` through an address translator on this host; `None` for
+    #: where it listens.  Its IP number is that of `control`.
+    calls_advertised: Address | None = None
     #: Seconds between two announcements of a target.
     announce_every: float = 1.0
     #: Bandwidth of the host's link in Mbit/s, 0 where it is not known.
