--- a/packages/calls/src/acaciayard_calls/__init__.py
+++ b/packages/calls/src/acaciayard_calls/__init__.py
@@ -1,9 +1,9 @@
 """The call path: callers' calls to targets, whole, truthful and at most once."""
 
-from ._admission import Gate, GatePolicy, Promise, SlotHeld
+from ._admission import Gate, GatePolicy, Reservation, SlotHeld
+from ._attempt import Answered, Attempt, CallParts
 from ._budgets import CallerLimiter, RetryBudgets, SharedRetryBudgets
 from ._call import Answer, Call, CallWatch, Exchange, NotRun, OutcomeUnknown
-from ._call_run import Answered, Attempt, CallParts
 from ._claimer import AnswerStore, Claimed, Claimer, Taken
 from ._claims import ClaimBook, ClaimHome, Holding
 from ._dialect import OWN_DIALECT, Dialect
@@ -62,9 +62,9 @@
     "OutcomeUnknown",
     "Picker",
     "Plan",
-    "Promise",
     "ReleaseRequest",
     "RemoteExchange",
+    "Reservation",
     "RetryBudgets",
     "Router",
     "ServiceLevels",
--- a/packages/calls/src/acaciayard_calls/_admission.py
+++ b/packages/calls/src/acaciayard_calls/_admission.py
@@ -18,7 +18,7 @@
 
 from ._call import NotRun
 
-__all__ = ["Gate", "GatePolicy", "Promise", "SlotHeld"]
+__all__ = ["Gate", "GatePolicy", "Reservation", "SlotHeld"]
 
 #: Part of the queue that each class has for itself, as a divisor.
 _RESERVE_DIVISOR: Final = 8
@@ -66,7 +66,7 @@
 
 
 @define(eq=False)
-class Promise:
+class Reservation:
     """Room for a call whose body is still on its way; must be ended once."""
 
     #: Class of the call.
@@ -78,7 +78,7 @@
         """The body is here, or will never come; harmless when done twice."""
         if not self._ended:
             self._ended = True
-            self._gate._promised[self.priority] -= 1
+            self._gate._reserved[self.priority] -= 1
 
 
 @frozen
@@ -123,7 +123,7 @@
         self._turns = list(policy.turns)
         self._mean_seconds = _FIRST_GUESS
         self._class_seconds: list[float | None] = [None] * len(PRIORITIES)
-        self._promised = [0] * len(PRIORITIES)
+        self._reserved = [0] * len(PRIORITIES)
         self._closed_because = ""
 
     @property
@@ -191,9 +191,9 @@
             return self._take(priority)
         return self._refusal_for(priority, deadline, start_by)
 
-    def promise(
+    def reserve(
         self, priority: int, deadline: float, start_by: float = math.inf
-    ) -> Promise | NotRun:
+    ) -> Reservation | NotRun:
         """Room for a call whose body is still to come, or the refusal.
 
         No slot stands empty for it meanwhile: a body of 60 KB takes 0.1 to 0.2 s over links of
@@ -201,12 +201,12 @@
         """
         if self._closed_because:
             return NotRun(self._closed_because, _LEAVING_RETRY_AFTER)
-        if not self._may_run(priority) or self.running + sum(self._promised) >= self._slots:
+        if not self._may_run(priority) or self.running + sum(self._reserved) >= self._slots:
             refusal = self._refusal_for(priority, deadline, start_by)
             if refusal is not None:
                 return refusal
-        self._promised[priority] += 1
-        return Promise(priority, self)
+        self._reserved[priority] += 1
+        return Reservation(priority, self)
 
     async def wait(self, priority: int, deadline: float) -> SlotHeld | NotRun:
         """A slot for a call that waits in the queue, or the refusal."""
@@ -326,7 +326,7 @@
         classes get their turns, as far as they have calls that wait or whose bodies are coming.
         """
         turns = self._policy.turns
-        coming = [len(q) + n for q, n in zip(self._waiting, self._promised, strict=True)]
+        coming = [len(q) + n for q, n in zip(self._waiting, self._reserved, strict=True)]
         own = coming[priority]
         return [
             float(own) if p == priority else min(count, (own + 1) * turns[p] / turns[priority])
--- a/packages/calls/src/acaciayard_calls/_answers.py
+++ b/packages/calls/src/acaciayard_calls/_answers.py
@@ -17,8 +17,8 @@
 from acaciayard_timers import TimerService
 from acaciayard_wire import ByteStream, StreamLostError
 
+from ._attempt import Attempt
 from ._call import UNKNOWN_LENGTH, Answer, NotRun, OutcomeUnknown
-from ._call_run import Attempt
 from ._dialect import OWN_DIALECT, Dialect
 from ._refusals import not_run_bytes, unknown_bytes
 from ._router import Plan
--- /dev/null
+++ b/packages/calls/src/acaciayard_calls/_attempt.py
@@ -0,0 +1,113 @@
+"""One attempt of a call at one host, and what all attempts of a daemon share."""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+import anyio.abc
+from attrs import define, frozen
+
+from acaciayard_spread import Invariants
+from acaciayard_timers import TimerService
+
+from ._budgets import RetryBudgets
+from ._call import Answer, Call, NotRun, OutcomeUnknown
+from ._dialect import Dialect
+from ._local import LocalExchange
+from ._picker import Candidate, Picker
+from ._pool import StreamPool
+from ._remote import RemoteExchange
+from ._targets import LocalTargets
+
+__all__ = ["Answered", "Attempt", "CallParts"]
+
+
+@define(eq=False)
+class Attempt:
+    """A call on its way to one host."""
+
+    #: The host.
+    candidate: Candidate
+    #: The conversation with it.
+    exchange: LocalExchange | RemoteExchange
+    #: Picks hosts; told how the attempt ends.
+    _picker: Picker
+    #: When it began, by the timer service.
+    started: float
+    #: Why this attempt was cut, empty where it was not.
+    cut_because: str = ""
+    #: Whether the host gave no sign of life in time.
+    is_silent: bool = False
+    _ended: bool = False
+
+    def end(self, outcome: Answer | NotRun | OutcomeUnknown) -> None:
+        """Tell how the attempt has ended; only the first word counts."""
+        if not self._ended:
+            self._ended = True
+            exchange = self.exchange
+            self._picker.end(self.candidate, outcome, exchange.load, exchange.pace)
+
+    def cut(self, reason: str) -> None:
+        """End the attempt before its answer has come."""
+        self.cut_because = reason
+        self.exchange.abort()
+
+    def close(self) -> None:
+        """Release everything, cancelling the call where it has not ended."""
+        self.end(_GIVEN_UP)
+        self.exchange.close()
+
+
+#: How an attempt counts that the caller has given up; no fault of the host.
+_GIVEN_UP: Final = NotRun("given up", 0.0, is_overload=True)
+
+
+@frozen
+class Answered:
+    """A target has answered; the attempt must be closed when the answer has been relayed."""
+
+    #: What it said.
+    answer: Answer
+    #: Where the rest of its body comes from.
+    attempt: Attempt
+
+
+@frozen
+class CallParts:
+    """What all calls of a daemon share."""
+
+    #: Name of this host.
+    host: str
+    #: Picks hosts.
+    picker: Picker
+    #: Targets on this host.
+    targets: LocalTargets
+    #: Streams to other daemons.
+    pool: StreamPool
+    #: Time.
+    timers: TimerService
+    #: Randomness.
+    seed: random.Random
+    #: Promises that are checked.
+    invariants: Invariants
+    #: Names of header fields.
+    dialect: Dialect
+    #: How many tries beyond the first are allowed.
+    budgets: RetryBudgets
+    #: Where second tries beside a slow first one run.
+    tasks: anyio.abc.TaskGroup
+
+    def attempt(self, call: Call, candidate: Candidate) -> Attempt:
+        """An attempt that has not started yet."""
+        self.picker.begin(candidate)
+        exchange: LocalExchange | RemoteExchange
+        if candidate.host == self.host:
+            exchange = LocalExchange(
+                call, targets=self.targets, timers=self.timers, dialect=self.dialect
+            )
+        else:
+            exchange = RemoteExchange(
+                call, address=candidate.address, pool=self.pool, timers=self.timers
+            )
+        return Attempt(candidate, exchange, self.picker, self.timers.now())
--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -20,8 +20,8 @@
 from acaciayard_wire import ByteStream, StreamLostError
 
 from ._answers import AnswerWriter
+from ._attempt import Answered, Attempt
 from ._call import LARGEST_WHOLE_BODY, Answer, Call, CallWatch, NotRun, OutcomeUnknown
-from ._call_run import Answered, Attempt
 from ._claimer import Claimed, Claimer, Taken
 from ._events import CallEnded
 from ._intake import (
--- a/packages/calls/src/acaciayard_calls/_dispatcher.py
+++ b/packages/calls/src/acaciayard_calls/_dispatcher.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from ._attempt import Answered, Attempt, CallParts
 from ._call import Call, CallWatch, NotRun, OutcomeUnknown
-from ._call_run import Answered, Attempt, CallParts, CallRun, no_target
+from ._call_run import CallRun, no_target
 from ._offers import MOST_OFFERS
 from ._router import Plan, Router
 
--- a/packages/calls/src/acaciayard_calls/_local.py
+++ b/packages/calls/src/acaciayard_calls/_local.py
@@ -26,7 +26,7 @@
 from acaciayard_timers import TimerService
 from acaciayard_wire import StreamLostError
 
-from ._admission import Promise, SlotHeld
+from ._admission import Reservation, SlotHeld
 from ._call import (
     LARGEST_WHOLE_BODY,
     UNKNOWN_LENGTH,
@@ -98,7 +98,7 @@
         self._timers = timers
         self._target: LocalTarget | None = None
         self._slot: SlotHeld | None = None
-        self._promise: Promise | None = None
+        self._reservation: Reservation | None = None
         self._connection: TargetConnection | None = None
         self._waiting: anyio.CancelScope | None = None
         self._is_aborted = False
@@ -154,27 +154,27 @@
         """Get a slot and a connection, and send nothing yet; the refusal where that fails."""
         return await self._enter() or (_GIVEN_UP if self._is_aborted else None)
 
-    def promise(self) -> NotRun | None:
+    def reserve(self) -> NotRun | None:
         """Have room kept until the body is here, and no slot; the refusal where there is none."""
         target = self._targets.pick(self._call.service)
         if target is None:
             return self._absent()
         self._target = target
         call = self._call
-        promised = target.gate.promise(call.priority, call.deadline, call.start_by)
-        if isinstance(promised, NotRun):
-            return promised
-        self._promise = promised
+        reserved = target.gate.reserve(call.priority, call.deadline, call.start_by)
+        if isinstance(reserved, NotRun):
+            return reserved
+        self._reservation = reserved
         return None
 
     def hold(self, body: bytes) -> None:
         """Take the whole body, for a call that was admitted without it."""
         self._call = self._call.with_changes(body=body, is_whole=True, length=len(body))
         self._body_sent = True
-        if self._promise is not None:
+        if self._reservation is not None:
             # It has paid for its way: refused now it would have to go it once more.
             self._call = self._call.with_changes(start_by=math.inf)
-            self._promise.end()
+            self._reservation.end()
 
     def _absent(self) -> NotRun:
         return NotRun(f"no target of {self._call.service!r} on this host", _ABSENT_RETRY_AFTER)
@@ -375,8 +375,8 @@
         self._release(reuse=False)
 
     def _release(self, *, reuse: bool) -> None:
-        if self._promise is not None:
-            self._promise.end()
+        if self._reservation is not None:
+            self._reservation.end()
         connection, self._connection = self._connection, None
         if connection is not None and self._target is not None:
             if reuse:
--- a/packages/calls/src/acaciayard_calls/_server.py
+++ b/packages/calls/src/acaciayard_calls/_server.py
@@ -212,7 +212,7 @@
         last of it.
         """
         is_large = exchange.call.length > LARGEST_INLINE_BODY
-        refusal = exchange.promise() if is_large else await exchange.enter()
+        refusal = exchange.reserve() if is_large else await exchange.enter()
         if refusal is not None:
             await self._refuse(refusal, exchange, messages)
             return
--- a/packages/calls/tests/test_admission.py
+++ b/packages/calls/tests/test_admission.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from acaciayard_calls import Gate, NotRun, Promise, SlotHeld
+from acaciayard_calls import Gate, NotRun, Reservation, SlotHeld
 from acaciayard_timers import ManualTimers
 
 INTERACTIVE, NORMAL, BULK = range(3)
@@ -75,21 +75,21 @@
 
     def test_no_slot_stands_empty_for_a_body_that_is_on_its_way(self) -> None:
         async def body(gate: Gate, timers: ManualTimers, _tasks: anyio.abc.TaskGroup) -> None:
-            promised = [gate.promise(INTERACTIVE, 100.0, timers.now()) for _ in range(7)]
-            self.assertTrue(all(isinstance(each, Promise) for each in promised[:6]))
-            self.assertIsInstance(promised[6], NotRun)
+            reserved = [gate.reserve(INTERACTIVE, 100.0, timers.now()) for _ in range(7)]
+            self.assertTrue(all(isinstance(each, Reservation) for each in reserved[:6]))
+            self.assertIsInstance(reserved[6], NotRun)
             self.take(gate, INTERACTIVE, 6)
 
         self.run_gate(body)
 
-    def test_promises_count_as_calls_that_wait(self) -> None:
+    def test_reservations_count_as_calls_that_wait(self) -> None:
         async def body(gate: Gate, timers: ManualTimers, _tasks: anyio.abc.TaskGroup) -> None:
             self.take(gate, INTERACTIVE, 6)
-            promised = [gate.promise(INTERACTIVE, 100.0) for _ in range(6)]
+            reserved = [gate.reserve(INTERACTIVE, 100.0) for _ in range(6)]
             late = timers.now() + gate.mean_seconds * 6.5 / 6
             self.assertIsInstance(gate.try_enter(INTERACTIVE, 100.0, late), NotRun)
-            for each in promised:
-                assert isinstance(each, Promise)
+            for each in reserved:
+                assert isinstance(each, Reservation)
                 each.end()
                 each.end()
             self.assertIsNone(gate.try_enter(INTERACTIVE, 100.0, late))
