--- a/packages/calls/src/acaciayard_calls/_local.py
+++ b/packages/calls/src/acaciayard_calls/_local.py
@@ -26,7 +26,7 @@
 from acaciayard_timers import TimerService
 from acaciayard_wire import StreamLostError
 
-from ._admission import Reservation, SlotHeld
+from ._admission import Gate, Reservation, SlotHeld
 from ._call import (
     LARGEST_WHOLE_BODY,
     UNKNOWN_LENGTH,
@@ -39,7 +39,7 @@
 from ._dialect import OWN_DIALECT, Dialect
 from ._targets import LocalTarget, LocalTargets, TargetConnection
 
-__all__ = ["LocalExchange", "end_to_end"]
+__all__ = ["LocalExchange", "end_to_end", "refused_by_target"]
 
 #: Seconds after which a caller may try again when a target is not there.
 _ABSENT_RETRY_AFTER: Final = 1.0
@@ -51,8 +51,8 @@
 _MOST_STRAY_ANSWERS: Final = 3
 #: Bytes of a body that a target has read with the head when it answers.
 _SURELY_READ: Final = 4096
-#: Seconds that a refused caller is told to wait where the target itself had no room.
-_REFUSED_RETRY_AFTER: Final = 0.05
+#: Seconds that a refused caller is told to wait where the target itself refused.
+_REFUSED_RETRY_AFTER: Final = 0.02
 #: Seconds that an idle connection may be old to carry a call that must not run twice: a target
 #: that forgets idle connections would leave its outcome unknown.
 _FRESH: Final = 1.0
@@ -79,6 +79,21 @@
     )
 
 
+def refused_by_target(status: int, gate: Gate) -> NotRun:
+    """The refusal of a call by a target that the gate had let it through to.
+
+    A target that refuses a part of its calls with slots free is not short of slots: its callers may
+    come back at once, while their calls can still be in time.
+    """
+    is_full = gate.waiting > 0 or gate.running >= gate.slots
+    return NotRun(
+        f"the target refused the call with {status}",
+        _REFUSED_RETRY_AFTER,
+        is_overload=is_full,
+        is_by_target=True,
+    )
+
+
 class LocalExchange(Exchange):
     """A call at a target beside this daemon."""
 
@@ -293,8 +308,8 @@
         if dialect.not_run and first_header(head.headers, dialect.not_run):
             self._reusable = self._may_reuse(head)
             await self._read_whole()
-            reason = f"the target refused the call with {head.status}"
-            return NotRun(reason, _REFUSED_RETRY_AFTER, is_overload=True, is_by_target=True)
+            assert self._target is not None
+            return refused_by_target(head.status, self._target.gate)
         fault = self._fault_in(head)
         return OutcomeUnknown(fault) if fault else await self._answer_of(head)
 
