--- a/packages/calls/src/acaciayard_calls/_call.py
+++ b/packages/calls/src/acaciayard_calls/_call.py
@@ -57,6 +57,8 @@
     start_by: float = math.inf
     #: Whether running the call twice does no harm.
     is_idempotent: bool = False
+    #: Whether the fastest host counts for more than one in the own failure domain.
+    prefers_fastest: bool = False
     #: Whether a target may have run the call before, or it is made by a run that was a repeat.
     is_repeat: bool = False
 
--- a/packages/calls/src/acaciayard_calls/_call_run.py
+++ b/packages/calls/src/acaciayard_calls/_call_run.py
@@ -23,7 +23,9 @@
 #: Hosts that a second try beside a slow first one is offered to; they take it only with a slot
 #: free, and where two of them have none the mesh is too busy for second tries.
 _HEDGE_OFFERS: Final = 2
-_NO_TARGET_RETRY_AFTER: Final = 1.0
+#: Seconds that a caller is told to wait where no host takes calls for the service: a daemon that
+#: has just started hears of the others within so long.
+_NO_TARGET_RETRY_AFTER: Final = 0.2
 #: Part of the time that a caller has left after which it is told to come back, from least to most:
 #: when a short crowd is over, and spread so that those who are refused together do not come back
 #: together.  Sooner they would stand before calls that can still be in time: from a tenth on, calls
@@ -84,8 +86,13 @@
         self._watch = watch
         self._attempts = attempts
         self._tried = 0
-        is_late = call.start_by <= parts.timers.now()
-        self._offers = Offers(parts.picker, plan, router, is_late=is_late)
+        self._offers = Offers(
+            parts.picker,
+            plan,
+            router,
+            is_late=call.start_by <= parts.timers.now(),
+            prefers_fastest=call.prefers_fastest,
+        )
         self._current: Attempt | None = None
         self._hedge: _Hedge | None = None
 
--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -204,9 +204,10 @@
             raise RejectedError(413, NotRun(reason, 60.0))
         body = await self._read_whole(head, plan) if is_held else b""
         call = call_of(head, plan, self._context, started=started, body=body)
-        parent = self._context.targets.parent_of(call.request_id)
+        targets = self._context.targets
+        parent = targets.parent_of(call.request_id)
         if parent is not None:
-            call = nested(call, parent)
+            call = nested(call, parent, is_full=targets.is_full(parent.service))
         if not call.is_whole:
             return await self._run_streaming(head, call, plan, router)
         if is_keyed and claimer is not None:
--- a/packages/calls/src/acaciayard_calls/_intake.py
+++ b/packages/calls/src/acaciayard_calls/_intake.py
@@ -49,6 +49,9 @@
 #: to 0.04 less.
 _WAIT_SHARES: Final = (0.3, 0.3, 0.25)
 _NO_ROUTE_RETRY_AFTER: Final = 1.0
+#: Seconds that a caller is told to wait while this daemon serves no calls: a start takes 0.2 to
+#: 0.4 s from its first open port to the configuration in force.
+_NOT_SERVING_RETRY_AFTER: Final = 0.2
 
 
 @define
@@ -110,7 +113,8 @@
     reason = context.not_serving()
     router = context.router
     if reason or router is None:
-        raise RejectedError(503, NotRun(reason or "no configuration is in force", 1.0))
+        refusal = NotRun(reason or "no configuration is in force", _NOT_SERVING_RETRY_AFTER)
+        raise RejectedError(503, refusal)
     depth = context.dialect.depth
     if depth and number_in(head, depth, 0) >= _DEEPEST:
         raise RejectedError(508, NotRun(f"more than {_DEEPEST} calls behind one another", 60.0))
@@ -169,13 +173,16 @@
     return first_asked + plan.latency_goal * _WAIT_SHARES[plan.priority]
 
 
-def nested(call: Call, parent: Call) -> Call:
+def nested(call: Call, parent: Call, *, is_full: bool) -> Call:
     """A call that a target makes for the call `parent` that it runs.
 
     Refusing it throws away the work that was done for the other one, whose slot it holds up: it
-    goes first, and it may wait as long as its caller does.
+    goes first, and it may wait as long as its caller does.  Where `is_full`, others wait for that
+    slot, so that it goes to the fastest host of all failure domains.
     """
-    return call.with_changes(priority=0, start_by=math.inf, is_repeat=parent.is_repeat)
+    return call.with_changes(
+        priority=0, start_by=math.inf, is_repeat=parent.is_repeat, prefers_fastest=is_full
+    )
 
 
 def _fields_of(head: RequestHead, context: EntryContext) -> bytes:
--- a/packages/calls/src/acaciayard_calls/_offers.py
+++ b/packages/calls/src/acaciayard_calls/_offers.py
@@ -42,8 +42,17 @@
             offers.note_refused(offer, refusal)
     """
 
-    def __init__(self, picker: Picker, plan: Plan, router: Router, *, is_late: bool) -> None:
+    def __init__(
+        self,
+        picker: Picker,
+        plan: Plan,
+        router: Router,
+        *,
+        is_late: bool = False,
+        prefers_fastest: bool = False,
+    ) -> None:
         self._most = _EAGER_OFFERS if is_late else MOST_OFFERS
+        self._prefers_fastest = prefers_fastest
         self._picker = picker
         self._plan = plan
         self._router = router
@@ -68,7 +77,9 @@
         return None if candidate is None else Offer(candidate, may_wait=True)
 
     def _pick(self, avoid: set[str]) -> Candidate | None:
-        return self._picker.pick(self._plan, self._router, avoid=avoid)
+        return self._picker.pick(
+            self._plan, self._router, avoid=avoid, prefers_fastest=self._prefers_fastest
+        )
 
     def note_refused(self, offer: Offer, refusal: NotRun) -> None:
         """The host has refused the call."""
--- a/packages/calls/src/acaciayard_calls/_picker.py
+++ b/packages/calls/src/acaciayard_calls/_picker.py
@@ -165,8 +165,18 @@
 
     # --- choice -------------------------------------------------------------------------------
 
-    def pick(self, plan: Plan, router: Router, *, avoid: Collection[str]) -> Candidate | None:
-        """The host for a call, `None` when there is none."""
+    def pick(
+        self,
+        plan: Plan,
+        router: Router,
+        *,
+        avoid: Collection[str],
+        prefers_fastest: bool = False,
+    ) -> Candidate | None:
+        """The host for a call, `None` when there is none.
+
+        With `prefers_fastest` the failure domain of a host counts for nothing.
+        """
         service = plan.service.name
         now = self._timers.now()
         present = [
@@ -181,7 +191,7 @@
         if not usable:
             return None
         sound = self._sound(usable, now, may_repeat=plan.route.idempotent)
-        pool = self._pool(sound, router, now)
+        pool = sound if prefers_fastest else self._pool(sound, router, now)
         return self._best_of_some(pool, now, plan.service.warm_up_s)
 
     def _sound(
@@ -201,7 +211,11 @@
         return sound if self._seed.random() * load < _FULL else usable
 
     def _pool(self, usable: Sequence[Candidate], router: Router, now: float) -> Sequence[Candidate]:
-        """The candidates of the own failure domain, or those that take its spill-over."""
+        """The candidates of the own failure domain, or all where its load spills over.
+
+        Of all, since a slow host outside may take longer than a loaded one inside: calls of a goal
+        of 150 ms that were late fell from 35 to 24 in 1,000 where every third target is slow.
+        """
         own_domain = self._table.own.domain
         inside = [c for c in usable if c.domain == own_domain]
         outside = [
@@ -216,7 +230,7 @@
         if load <= limit or _mean_load(outside, now) >= load:
             return inside
         spilled = 1 - limit / load
-        return outside if self._seed.random() < spilled else inside
+        return [*inside, *outside] if self._seed.random() < spilled else inside
 
     def _best_of_some(self, pool: Sequence[Candidate], now: float, warm_up: float) -> Candidate:
         if len(pool) == 1:
--- a/packages/calls/src/acaciayard_calls/_targets.py
+++ b/packages/calls/src/acaciayard_calls/_targets.py
@@ -240,6 +240,11 @@
         parent, separator, _ = request_id.rpartition(_NESTED)
         return self._running.get(parent) if separator else None
 
+    def is_full(self, service: str) -> bool:
+        """Whether all slots of the service's targets here are taken."""
+        target = self.pick(service)
+        return target is not None and target.gate.load >= 1
+
     def mark_left(self, name: str) -> None:
         """Remember that a target leaves or has left, also one that is not known here."""
         self._left.pop(name, None)
--- a/packages/calls/tests/load_model.py
+++ b/packages/calls/tests/load_model.py
@@ -288,7 +288,7 @@
             is_idempotent=kind.idempotent,
         )
         if parent is not None:
-            call = nested(call, parent)
+            call = nested(call, parent, is_full=self.gate.load >= 1)
         else:
             call = call.with_changes(start_by=start_by(plan, first))
         run = self.dispatcher.run(call, plan, mesh.router, CallWatch(), may_retry=True)
--- a/packages/calls/tests/test_routing.py
+++ b/packages/calls/tests/test_routing.py
@@ -112,10 +112,14 @@
         assert plan is not None
         self.plan = plan
 
-    def picks(self, count: int = 200, avoid: tuple[str, ...] = ()) -> Counter[str]:
+    def picks(
+        self, count: int = 200, avoid: tuple[str, ...] = (), *, prefers_fastest: bool = False
+    ) -> Counter[str]:
         found: Counter[str] = Counter()
         for _ in range(count):
-            candidate = self.picker.pick(self.plan, self.router, avoid=avoid)
+            candidate = self.picker.pick(
+                self.plan, self.router, avoid=avoid, prefers_fastest=prefers_fastest
+            )
             found[candidate.host if candidate else "none"] += 1
         return found
 
@@ -130,6 +134,36 @@
         outside = found["h2"] + found["h3"]
         self.assertAlmostEqual(outside / 2000, 0.5, delta=0.05)
 
+    def test_spill_over_stays_where_it_takes_longer_outside(self) -> None:
+        candidates = self.picker._services["a"]
+        for host, pace in (("h0", 0.01), ("h1", 0.01), ("h2", 0.05), ("h3", 0.05)):
+            candidates[host].pace = pace
+            if host in ("h0", "h1"):
+                candidates[host].told_load, candidates[host].told_at = 0.9, self.timers.now()
+        self.assertEqual(set(self.picks()), {"h0", "h1"})
+
+    def test_fastest_of_all_domains_where_speed_counts_for_more(self) -> None:
+        candidates = self.picker._services["a"]
+        for host, pace in (("h0", 0.03), ("h1", 0.03), ("h2", 0.01), ("h3", 0.03)):
+            candidates[host].pace = pace
+        self.assertEqual(set(self.picks()), {"h0", "h1"})
+        found = self.picks(prefers_fastest=True)
+        self.assertGreater(found["h2"], 100)
+
+    def test_sound_targets_first_while_they_have_room(self) -> None:
+        candidates = self.picker._services["a"]
+        for host in ("h0", "h1"):
+            self.picker.begin(candidates[host])
+            self.picker.end(candidates[host], Answer(500, b"", b"", True, 0), 0.0)
+            candidates[host].failure_share = 0.4
+        self.assertEqual(set(self.picks()), {"h2", "h3"})
+        for host in ("h2", "h3"):
+            candidates[host].told_load, candidates[host].told_at = 2.0, self.timers.now()
+        found = self.picks(2000)
+        self.assertGreater(found["h0"] + found["h1"], 500)
+        self.timers._now += 30.0
+        self.assertEqual(set(self.picks()), {"h0", "h1"})
+
     def test_domain_that_accepts_no_spill(self) -> None:
         self.use(
             Service(name="a", warm_up_s=0),
