--- a/packages/calls/src/acaciayard_calls/__init__.py
+++ b/packages/calls/src/acaciayard_calls/__init__.py
@@ -12,6 +12,7 @@
 from ._events import NO_EVENTS, CallEnded, CallEvents, OfferEnded, Try
 from ._levels import WINDOWS, LevelReport, ServiceLevels
 from ._local import LocalExchange
+from ._losses import Loss, loss_of
 from ._messages import CLAIM_MESSAGES, ClaimAnswer, ClaimRequest, ReleaseRequest
 from ._picker import Candidate, Picker
 from ._pool import StreamPool, call_pool
@@ -54,6 +55,7 @@
     "GatePolicy",
     "Holding",
     "LevelReport",
+    "Loss",
     "LocalExchange",
     "LocalTarget",
     "LocalTargets",
@@ -74,4 +76,5 @@
     "Taken",
     "Try",
     "call_pool",
+    "loss_of",
 ]
--- a/packages/calls/src/acaciayard_calls/_admission.py
+++ b/packages/calls/src/acaciayard_calls/_admission.py
@@ -125,6 +125,12 @@
         self._class_seconds: list[float | None] = [None] * len(PRIORITIES)
         self._reserved = [0] * len(PRIORITIES)
         self._closed_because = ""
+        self._busy_seconds = 0.0
+
+    @property
+    def busy_seconds(self) -> float:
+        """Seconds for which slots were held, over all calls that have ended."""
+        return self._busy_seconds
 
     @property
     def slots(self) -> int:
@@ -259,6 +265,7 @@
         self._running[held.priority] -= 1
         self._running_count -= 1
         took = self._timers.now() - held.since
+        self._busy_seconds += took
         if is_good or took > self._mean_seconds:
             self._mean_seconds += _SMOOTHING * (took - self._mean_seconds)
             usual = self._seconds_of(held.priority)
--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -32,6 +32,7 @@
     nested,
     number_in,
     plan_for,
+    told_deadline,
 )
 from ._refusals import fault_bytes
 from ._router import Plan, Router
@@ -169,6 +170,7 @@
         router, plan = plan_for(head, self._context)
         self._ended.route = plan.route.name
         self._ended.service = plan.service.name
+        self._ended.goal_ms = plan.latency_goal * 1000
         self._ended.version = router.configuration.version
         caller = self._caller_of(head).decode("latin-1")
         refusal = self._context.limiter.enter(caller, router.configuration)
@@ -203,7 +205,12 @@
             reason = f"a call with a key needs a Content-Length up to {LARGEST_WHOLE_BODY}"
             raise RejectedError(413, NotRun(reason, 60.0))
         body = await self._read_whole(head, plan) if is_held else b""
-        call = call_of(head, plan, self._context, started=started, body=body)
+        told = told_deadline(head, self._context)
+        first_asked = min(started, self._context.first_asked.of(plan.route.name, told=told))
+        self._ended.age_ms = round((started - first_asked) * 1000, 1)
+        call = call_of(
+            head, plan, self._context, started=started, first_asked=first_asked, body=body
+        )
         targets = self._context.targets
         parent = targets.parent_of(call.request_id)
         if parent is not None:
@@ -276,6 +283,8 @@
             case NotRun():
                 self._note("not_run", 503, outcome.reason)
                 self._ended.retry_after = outcome.retry_after
+                self._ended.is_overload = outcome.is_overload
+                self._ended.is_by_target = outcome.is_by_target
                 await self._answers.refuse(head, outcome, 503)
             case OutcomeUnknown():
                 self._note("unknown", 504, outcome.reason)
--- a/packages/calls/src/acaciayard_calls/_events.py
+++ b/packages/calls/src/acaciayard_calls/_events.py
@@ -43,6 +43,14 @@
     retry_after: float = -1.0
     #: Milliseconds from the head of the request to the end of its answer.
     ms: float = 0.0
+    #: Milliseconds within which an answer is worth most, 0 where the route has no such goal.
+    goal_ms: float = 0.0
+    #: Whether a refusal came from too much work.
+    is_overload: bool = False
+    #: Whether the target itself refused.
+    is_by_target: bool = False
+    #: Milliseconds for which its caller has been asking already, 0 for a first call; an estimate.
+    age_ms: float = 0.0
     #: Hosts that it was offered to, in order.
     tries: list[Try] = field(factory=list)
 
--- a/packages/calls/src/acaciayard_calls/_intake.py
+++ b/packages/calls/src/acaciayard_calls/_intake.py
@@ -39,6 +39,7 @@
     "number_in",
     "plan_for",
     "start_by",
+    "told_deadline",
 ]
 
 _DEEPEST: Final = 64
@@ -137,16 +138,24 @@
 
 
 def call_of(
-    head: RequestHead, plan: Plan, context: EntryContext, *, started: float, body: bytes
+    head: RequestHead,
+    plan: Plan,
+    context: EntryContext,
+    *,
+    started: float,
+    first_asked: float,
+    body: bytes,
 ) -> Call:
-    """The call that a request asks for; `body` is its whole body where that is held."""
+    """The call that a request asks for; `body` is its whole body where that is held.
+
+    `first_asked` is when its caller asked for the first time, which `started` need not be.
+    """
     dialect = context.dialect
     seconds = plan.timeout.total_s
-    asked = number_in(head, dialect.deadline, 0)
-    if asked > 0:
-        seconds = min(seconds, asked / 1000)
+    told = told_deadline(head, context)
+    if told > 0:
+        seconds = min(seconds, told)
     is_whole = is_small(head, context)
-    asked_at = context.first_asked.of(plan.route.name, told=asked / 1000)
     return Call(
         service=plan.service.name,
         method=head.method,
@@ -158,11 +167,16 @@
         priority=plan.priority,
         deadline=started + seconds,
         request_id=first_header(head.headers, dialect.request_id) if dialect.request_id else b"",
-        start_by=start_by(plan, min(started, asked_at)),
+        start_by=start_by(plan, first_asked),
         is_idempotent=plan.route.idempotent,
     )
 
 
+def told_deadline(head: RequestHead, context: EntryContext) -> float:
+    """Seconds for which the caller of a request says that it waits, 0 where it does not say."""
+    return number_in(head, context.dialect.deadline, 0) / 1000
+
+
 def start_by(plan: Plan, first_asked: float) -> float:
     """Until when a slot is worth waiting for; in the past for a repeat that can only be late.
 
--- a/packages/calls/tests/test_overload.py
+++ b/packages/calls/tests/test_overload.py
@@ -56,7 +56,7 @@
     first = [
         Target(f"first-{n}", DOMAINS[n % 3], "first", 9, SLOWNESS[n % 3]) for n in range(count)
     ]
-    second = [Target(f"second-{n}", DOMAINS[n], "second", 9) for n in range(2)]
+    second = [Target(f"second-{n}", DOMAINS[n], "second", 9, (0.6, 1.4)[n]) for n in range(2)]
     asked = [evolve(kind, rate=kind.rate * share) for kind in (BROWSE, PAY, PUBLISH)]
     return Load(targets=(*first, *second), classes=(*asked, PEEK), seconds=seconds)
 
--- a/packages/cli/src/acaciayard_cli/_main.py
+++ b/packages/cli/src/acaciayard_cli/_main.py
@@ -21,6 +21,7 @@
 from ._exit import Exit
 from ._explain import explain, print_explanation, print_summary, summarize
 from ._log_lines import read_lines
+from ._losses import count_losses, print_losses
 from ._output import fail, fail_with, print_findings, print_json, print_table
 from ._report import merge_levels, write_html
 
@@ -171,10 +172,16 @@
 
 
 @main.command()
+@click.option(
+    "--losses", is_flag=True, help="Count calls not answered in their goal, by second and cause."
+)
 @_logs
 @click.pass_obj
-def events(context: _Context, logs: tuple[TextIO, ...]) -> None:
+def events(context: _Context, logs: tuple[TextIO, ...], *, losses: bool) -> None:
     """Summarize LOGS, or standard input: why calls failed, and what the daemons came to believe."""
+    if losses:
+        print_losses(count_losses(read_lines(_all_lines(logs))), as_json=context.as_json)
+        return
     print_summary(summarize(read_lines(_all_lines(logs))), as_json=context.as_json)
 
 
--- a/packages/cli/tests/test_explain.py
+++ b/packages/cli/tests/test_explain.py
@@ -75,6 +75,20 @@
         told = CliRunner().invoke(main, ["explain", "r9"], input=LINES)
         self.assertEqual(told.exit_code, 2)
 
+    def test_losses_are_counted_by_second_and_cause(self) -> None:
+        line = (
+            "time=2026-01-01T00:00:0{}.5Z level=info event=call_ended host=h1 request=r route=q"
+            " service=b version=6 outcome=not_run status=503 loss={}"
+        )
+        lines = [line.format(*each) for each in ((3, "no_slot"), (3, "no_slot"), (4, "unknown"))]
+        told = CliRunner().invoke(main, ["events", "--losses"], input="\n".join(lines))
+        self.assertRegex(told.output, r"00:00:03 +q +2 +no_slot 2")
+        self.assertRegex(told.output, r"00:00:04 +q +1 +unknown 1")
+        asked = ["--output", "json", "events", "--losses"]
+        told = CliRunner().invoke(main, asked, input="\n".join(lines))
+        found = json.loads(told.output)["losses"]
+        self.assertEqual(found[0], ["2026-01-01T00:00:03", "q", "no_slot", 2])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -306,6 +306,14 @@
             Gauge("version", "Version in force", lambda: self._versions.version),
             Gauge("members", "Daemons that count as running", lambda: members.table.present_count),
             Gauge("retries", "Repeats of calls so far", lambda: dispatcher.retries),
+            Gauge(
+                "slots", "Slots of the targets here", lambda: sum(t.gate.slots for t in targets.all)
+            ),
+            Gauge(
+                "slot_seconds",
+                "Seconds for which slots of the targets here were held",
+                lambda: sum(t.gate.busy_seconds for t in targets.all),
+            ),
             Gauge("rejected", "Bad configurations so far", lambda: self._versions.rejected),
             Gauge("lines_dropped", "Log lines dropped so far", lambda: self._lines.dropped),
             Gauge("faults", "Connections ended by a fault", lambda: self._calls_log.faults),
--- a/packages/hosted/src/acaciayard_hosted/_call_log.py
+++ b/packages/hosted/src/acaciayard_hosted/_call_log.py
@@ -10,7 +10,7 @@
 import structlog
 from hdrh.histogram import HdrHistogram
 
-from acaciayard_calls import CallEnded, CallEvents, OfferEnded, Try
+from acaciayard_calls import CallEnded, CallEvents, Loss, OfferEnded, Try, loss_of
 
 __all__ = ["CallLog"]
 
@@ -34,6 +34,7 @@
     def __init__(self, log: structlog.typing.FilteringBoundLogger) -> None:
         self._log = log
         self._ended: Counter[tuple[str, str, str]] = Counter()
+        self._losses: Counter[tuple[str, str]] = Counter()
         self._offers: Counter[tuple[str, str]] = Counter()
         self._histograms: dict[str, Any] = {}
         self._pending: list[tuple[str, float]] = []
@@ -49,6 +50,11 @@
         """Calls so far by route, outcome and status."""
         return self._ended
 
+    @property
+    def losses(self) -> Counter[tuple[str, str]]:
+        """Calls so far that were not answered well in their goal, by route and cause."""
+        return self._losses
+
     @property
     def offers(self) -> Counter[tuple[str, str]]:
         """Calls handed over by other daemons so far, by service and outcome."""
@@ -71,13 +77,20 @@
 
     def call_ended(self, ended: CallEnded) -> None:
         self._ended[(ended.route, ended.outcome, str(ended.status))] += 1
+        loss = loss_of(ended)
+        if loss is not None:
+            self._losses[(ended.route, loss.value)] += 1
         is_good = ended.outcome == "answered" and ended.status < _FAILED
         if is_good:
             self._pending.append((ended.route, ended.ms))
             if len(self._pending) >= _PENDING:
                 self._settle()
-            if len(ended.tries) <= 1 and not _is_sampled(ended.request_id):
+            is_plain = loss is None and len(ended.tries) <= 1
+            if is_plain and not _is_sampled(ended.request_id):
                 return
+        self._log_call(ended, loss)
+
+    def _log_call(self, ended: CallEnded, loss: Loss | None) -> None:
         self._log.info(
             "call_ended",
             request=ended.request_id,
@@ -86,9 +99,11 @@
             version=ended.version,
             outcome=ended.outcome,
             status=ended.status,
+            loss=loss.value if loss else None,
             reason=ended.reason or None,
             retry_after_s=round(ended.retry_after, 3) if ended.retry_after >= 0 else None,
             ms=ended.ms,
+            age_ms=ended.age_ms or None,
             tries=_told(ended.tries) or None,
         )
 
--- a/packages/hosted/src/acaciayard_hosted/_metrics.py
+++ b/packages/hosted/src/acaciayard_hosted/_metrics.py
@@ -65,6 +65,14 @@
         for labels, count in sorted(self._calls.ended.items()):
             ended.add_metric(labels, count)
         yield ended
+        losses = CounterMetricFamily(
+            "acaciayard_losses",
+            "Calls of callers on this host not answered well in their latency goal",
+            labels=("route", "cause"),
+        )
+        for loss, count in sorted(self._calls.losses.items()):
+            losses.add_metric(loss, count)
+        yield losses
         offers = CounterMetricFamily(
             "acaciayard_offers",
             "Calls handed over by other daemons that have ended at the target here",
