--- a/packages/calls/tests/load_model.py
+++ b/packages/calls/tests/load_model.py
@@ -208,6 +208,8 @@
     tallies: dict[str, Tally]
     #: Part of the time for which each target's slots were in use.
     used: dict[str, float]
+    #: Part of the answers that came from another failure domain.
+    crossed: float
 
     def of(self, name: str) -> Tally:
         """The tally of a class."""
@@ -311,6 +313,8 @@
         self.seed = random.Random(seed)
         self.classes = {kind.name: kind for kind in load.classes}
         self.router = _router(load)
+        self.answers = 0
+        self.crossed = 0
         self.tallies = {kind.name: Tally() for kind in load.classes}
         self.hosts = {
             t.host: _Host(self, t, number) for number, t in enumerate(load.targets, start=1)
@@ -448,6 +452,8 @@
         if is_lost:
             return OutcomeUnknown("the target gave no whole answer: reset")
         self.pace = gate.mean_seconds
+        self._mesh.answers += 1
+        self._mesh.crossed += self._link == DOMAIN_LINK
         return Answer(status, b"", b"", True, 0)
 
     def _tell_load(self) -> None:
@@ -541,7 +547,7 @@
         used = {
             name: host.busy / host.target.slots / load.seconds for name, host in mesh.hosts.items()
         }
-        outcome = Outcome(mesh.tallies, used)
+        outcome = Outcome(mesh.tallies, used, mesh.crossed / max(1, mesh.answers))
 
     random.seed(seed)
     anyio.run(main, backend_options={"loop_factory": JumpingLoop})
