--- a/packages/calls/src/acaciayard_calls/_remote.py
+++ b/packages/calls/src/acaciayard_calls/_remote.py
@@ -187,6 +187,7 @@
 
     def _refusal_of(self, refused: Refused) -> NotRun:
         self._load = refused.load
+        self._pace = refused.pace
         self._release(reuse=self._body_sent or self._is_held)
         return NotRun(
             refused.reason, refused.retry_after, refused.is_overload, refused.is_by_target
--- a/packages/calls/src/acaciayard_calls/_server.py
+++ b/packages/calls/src/acaciayard_calls/_server.py
@@ -296,6 +296,7 @@
                 refusal.is_overload,
                 exchange.load,
                 refusal.is_by_target,
+                exchange.pace,
             )
         )
 
--- a/packages/calls/tests/load_model.py
+++ b/packages/calls/tests/load_model.py
@@ -120,6 +120,9 @@
     slots: int = 9
     #: How many times as long as usual its work takes.
     slowness: float = 1.0
+    #: How many times as long again its work takes between two seconds.
+    slows: float = 1.0
+    slow_between: tuple[float, float] = (0.0, math.inf)
     #: Seconds at which it stops taking calls, and takes them again.
     gone: tuple[float, float] = (math.inf, math.inf)
     #: Part of the calls that it refuses though it has room, from some second on.
@@ -451,13 +454,13 @@
         await timers.sleep(self._link)
         if is_lost:
             return OutcomeUnknown("the target gave no whole answer: reset")
-        self.pace = gate.mean_seconds
         self._mesh.answers += 1
         self._mesh.crossed += self._link == DOMAIN_LINK
         return Answer(status, b"", b"", True, 0)
 
     def _tell_load(self) -> None:
         self.load = self._there.gate.load
+        self.pace = self._there.gate.mean_seconds
 
     async def _work(self, call: Call) -> int:
         """The target's own work, and the call that it makes."""
@@ -465,7 +468,7 @@
         kind = mesh.classes[call.target[1:].decode()]
         spread = kind.spread
         drawn = self._there.seed.lognormvariate(-spread * spread / 2, spread)
-        await mesh.timers.sleep(kind.work * drawn * self._there.target.slowness)
+        await mesh.timers.sleep(kind.work * drawn * self._slowness())
         if self._there.seed.random() >= kind.nested_share:
             return 200
         called = mesh.classes[kind.nested]
@@ -473,6 +476,12 @@
         outcome = await self._there.serve(called, left, call)
         return 200 if isinstance(outcome, Answered) else 500
 
+    def _slowness(self) -> float:
+        target = self._there.target
+        first, last = target.slow_between
+        is_slow = first <= self._mesh.timers.now() < last
+        return target.slowness * (target.slows if is_slow else 1.0)
+
     def abort(self) -> None:
         self._is_aborted = True
         if self._scope is not None:
