--- a/packages/calls/src/acaciayard_calls/_messages.py
+++ b/packages/calls/src/acaciayard_calls/_messages.py
@@ -146,9 +146,9 @@
     load: float
     #: Whether the target itself refused.
     is_by_target: bool = False
-    #: Mean seconds that a call takes at the target, 0 for nothing told.  Where targets turn slow they
-    #: answer seldom and refuse often: late calls fell from 58 to 52 in 1,000 (eight seeds) when
-    #: refusals told it as well.
+    #: Mean seconds that a call takes at the target, 0 for nothing told.  Where targets turn slow
+    #: they answer seldom and refuse often: late calls fell from 58 to 52 in 1,000 (eight seeds)
+    #: when refusals told it as well.
     pace: float = 0.0
 
 
