--- a/packages/calls/tests/ablation.py
+++ b/packages/calls/tests/ablation.py
@@ -59,7 +59,7 @@
 
 
 def _nested_as_others(call: Any, _parent: Any, *, is_full: bool) -> Any:
-    return call
+    return call.with_changes(prefers_fastest=is_full)
 
 
 def _late_return(status: int, _gate: Gate) -> NotRun:
@@ -110,10 +110,17 @@
         "deep": mesh_load(3, share=1.6, seconds=4.0),
         "shed": with_targets(mesh_load(5, seconds=4.0), 5, sheds=0.55, sheds_from=1.0),
         "lose": with_targets(mesh_load(5, share=0.75, seconds=4.0), 3, loses=0.4, loses_from=1.0),
+        "second": narrowed(mesh_load(5, share=0.9, seconds=4.0)),
         "slow": slowed(mesh_load(5, share=0.9, seconds=4.0)),
     }
 
 
+def narrowed(load: Load) -> Load:
+    """The load with fewer slots at the second service, which is then short of them."""
+    targets = [evolve(t, slots=3) if t.service == "second" else t for t in load.targets]
+    return evolve(load, targets=tuple(targets))
+
+
 def slowed(load: Load) -> Load:
     """The load with one target of the first service five times slower."""
     first, *others = load.targets
