--- a/packages/calls/src/acaciayard_calls/_intake.py
+++ b/packages/calls/src/acaciayard_calls/_intake.py
@@ -25,8 +25,8 @@
 from ._dispatcher import Dispatcher
 from ._events import NO_EVENTS, CallEvents
 from ._first_asked import FirstAsked
+from ._header_fields import end_to_end
 from ._levels import ServiceLevels
-from ._local import end_to_end
 from ._router import Plan, Router
 from ._targets import LocalTargets
 
--- a/packages/calls/src/acaciayard_calls/_local.py
+++ b/packages/calls/src/acaciayard_calls/_local.py
@@ -10,7 +10,6 @@
 import anyio
 
 from acaciayard_http1 import (
-    HOP_BY_HOP,
     BodyPart,
     End,
     Framing,
@@ -26,7 +25,7 @@
 from acaciayard_timers import TimerService
 from acaciayard_wire import StreamLostError
 
-from ._admission import Gate, Reservation, SlotHeld
+from ._admission import Reservation, SlotHeld
 from ._call import (
     LARGEST_WHOLE_BODY,
     UNKNOWN_LENGTH,
@@ -37,22 +36,17 @@
     OutcomeUnknown,
 )
 from ._dialect import OWN_DIALECT, Dialect
+from ._header_fields import end_to_end
+from ._target_answers import fault_in, may_reuse, refused_by_target
 from ._targets import LocalTarget, LocalTargets, TargetConnection
 
-__all__ = ["LocalExchange", "end_to_end", "refused_by_target"]
+__all__ = ["LocalExchange"]
 
 #: Seconds after which a caller may try again when a target is not there.
 _ABSENT_RETRY_AFTER: Final = 1.0
 _BODILESS_METHODS: Final = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
-_NOT_PASSED_ON: Final = HOP_BY_HOP | {b"content-length"}
-#: Statuses that promise that a call has not run; a target must say so in so many words.
-_PROMISING_STATUSES: Final = (408, 421, 429, 503)
 #: Answers to other requests that are passed over before the connection is given up.
 _MOST_STRAY_ANSWERS: Final = 3
-#: Bytes of a body that a target has read with the head when it answers.
-_SURELY_READ: Final = 4096
-#: Seconds that a refused caller is told to wait where the target itself refused.
-_REFUSED_RETRY_AFTER: Final = 0.02
 #: Seconds that an idle connection may be old to carry a call that must not run twice: a target
 #: that forgets idle connections would leave its outcome unknown.
 _FRESH: Final = 1.0
@@ -61,39 +55,6 @@
 _GIVEN_UP: Final = NotRun("the call was given up before it was sent", 0.1)
 
 
-def end_to_end(headers: Headers) -> Headers:
-    """Header fields without those of the connection and of the framing."""
-    dropped = _NOT_PASSED_ON
-    if any(name == b"connection" for name, _ in headers):
-        dropped |= _named(headers)
-    return tuple([field for field in headers if field[0] not in dropped])
-
-
-def _named(headers: Headers) -> frozenset[bytes]:
-    """Headers that `Connection` declares to belong to the connection."""
-    return frozenset(
-        name.strip().lower()
-        for field, value in headers
-        if field == b"connection"
-        for name in value.split(b",")
-    )
-
-
-def refused_by_target(status: int, gate: Gate) -> NotRun:
-    """The refusal of a call by a target that the gate had let it through to.
-
-    A target that refuses a part of its calls with slots free is not short of slots: its callers may
-    come back at once, while their calls can still be in time.
-    """
-    is_full = gate.waiting > 0 or gate.running >= gate.slots
-    return NotRun(
-        f"the target refused the call with {status}",
-        _REFUSED_RETRY_AFTER,
-        is_overload=is_full,
-        is_by_target=True,
-    )
-
-
 class LocalExchange(Exchange):
     """A call at a target beside this daemon."""
 
@@ -306,39 +267,15 @@
         """The answer, unless it is a refusal or not fit to be passed on."""
         dialect = self._dialect
         if dialect.not_run and first_header(head.headers, dialect.not_run):
-            self._reusable = self._may_reuse(head)
+            self._reusable = may_reuse(head, self._call)
             await self._read_whole()
             assert self._target is not None
             return refused_by_target(head.status, self._target.gate)
-        fault = self._fault_in(head)
+        fault = fault_in(head, self._call, self._dialect)
         return OutcomeUnknown(fault) if fault else await self._answer_of(head)
 
-    def _may_reuse(self, head: ResponseHead) -> bool:
-        """Whether the connection may carry another call after this answer.
-
-        A target may refuse a long body before it has read it, and read on later: another call on
-        that connection would wait behind the rest, for a second and more.
-        """
-        may_be_early = head.status >= 300 and self._call.length > _SURELY_READ
-        return head.keep_alive and not may_be_early
-
-    def _fault_in(self, head: ResponseHead) -> str:
-        """Why an answer cannot be passed on, empty when it can."""
-        dialect = self._dialect
-        if dialect.seal and head.status < 300:
-            if not first_header(head.headers, dialect.seal):
-                return f"the target answered {head.status} without {dialect.seal.decode()}"
-            if dialect.request_id and not first_header(head.headers, dialect.request_id):
-                return f"the target answered {head.status} without saying to which request"
-            if first_header(head.headers, b"content-encoding"):
-                return "the body of the answer is encoded, though nobody asked for that"
-        is_promise = dialect.not_run and head.status in _PROMISING_STATUSES
-        if is_promise and not self._call.is_idempotent:
-            return f"the target answered {head.status} and does not say that the call has not run"
-        return ""
-
     async def _answer_of(self, head: ResponseHead) -> Answer:
-        self._reusable = self._may_reuse(head)
+        self._reusable = may_reuse(head, self._call)
         self._is_good = head.status < 500
         headers = end_to_end(head.headers)
         if self._call.wants_head_only:
--- a/packages/calls/tests/load_model.py
+++ b/packages/calls/tests/load_model.py
@@ -46,7 +46,7 @@
 from acaciayard_calls._attempt import Attempt
 from acaciayard_calls._first_asked import FirstAsked
 from acaciayard_calls._intake import nested, start_by
-from acaciayard_calls._local import refused_by_target
+from acaciayard_calls._target_answers import refused_by_target
 from acaciayard_http1 import BodyPart, End, Headers
 from acaciayard_membership import Member, MemberState, MemberTable, TargetInfo
 from acaciayard_membership._messages import MEMBER_CODEC
--- a/packages/calls/tests/test_admission.py
+++ b/packages/calls/tests/test_admission.py
@@ -8,6 +8,7 @@
 import anyio
 
 from acaciayard_calls import Gate, NotRun, Reservation, SlotHeld
+from acaciayard_calls._target_answers import refused_by_target
 from acaciayard_timers import ManualTimers
 
 INTERACTIVE, NORMAL, BULK = range(3)
@@ -59,6 +60,18 @@
 
         self.run_gate(body)
 
+    def test_a_target_that_refuses_with_slots_free_is_not_overloaded(self) -> None:
+        async def body(gate: Gate, _timers: ManualTimers, _tasks: anyio.abc.TaskGroup) -> None:
+            self.take(gate, INTERACTIVE, 5)
+            refusal = refused_by_target(503, gate)
+            self.assertTrue(refusal.is_by_target)
+            self.assertFalse(refusal.is_overload)
+            self.assertLess(refusal.retry_after, 0.05)
+            self.take(gate, INTERACTIVE, 1)
+            self.assertTrue(refused_by_target(503, gate).is_overload)
+
+        self.run_gate(body)
+
     def test_wait_is_counted_by_turns(self) -> None:
         async def body(gate: Gate, timers: ManualTimers, tasks: anyio.abc.TaskGroup) -> None:
             self.take(gate, INTERACTIVE, 6)
