--- a/packages/calls/tests/ablation.py
+++ b/packages/calls/tests/ablation.py
@@ -17,7 +17,8 @@
 from unittest import mock
 
 from attrs import evolve, frozen
-from load_model import Load, run_load
+from load import Load
+from load_model import run_load
 from test_overload import mesh_load, with_targets
 
 from acaciayard_calls import Gate, NotRun, Picker
--- a/packages/calls/tests/load_model.py
+++ b/packages/calls/tests/load_model.py
@@ -13,16 +13,15 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import random
-import selectors
-from collections.abc import Callable
 from typing import Any, Final
 
 import anyio
 import anyio.abc
-from attrs import define, field, frozen
+from attrs import field, frozen
 from call_rig import configuration
+from jumping_loop import JumpingLoop, LoopTimers
+from load import CallClass, Load, Outcome, Tally, Target
 
 from acaciayard_calls import (
     OWN_DIALECT,
@@ -52,7 +51,7 @@
 from acaciayard_membership._messages import MEMBER_CODEC
 from acaciayard_resources import PRIORITIES, RetryPolicy, Route, Service, TimeoutPolicy
 from acaciayard_spread import Invariants
-from acaciayard_timers import Subscription, TimerService
+from acaciayard_timers import TimerService
 
 #: Seconds one way between a caller and its entry, and between failure domains.
 CALLER_LINK: Final = 0.003
@@ -63,162 +62,6 @@
 MOST_OBEYED: Final = 1 / 3
 
 
-class _JumpingSelector(selectors.DefaultSelector):
-    """Waits for nothing: it moves the loop's clock instead."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.now = 0.0
-
-    def select(self, timeout: float | None = None) -> list[Any]:
-        if timeout:
-            self.now += timeout
-        return []
-
-
-class JumpingLoop(asyncio.SelectorEventLoop):
-    """An event loop whose clock jumps to the next timer."""
-
-    def __init__(self) -> None:
-        self._jumping = _JumpingSelector()
-        super().__init__(self._jumping)
-
-    def time(self) -> float:
-        return self._jumping.now
-
-
-class LoopTimers(TimerService):
-    """The timer service on the clock of a `JumpingLoop`."""
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._loop = loop
-
-    def now(self) -> float:
-        return self._loop.time()
-
-    def wall(self) -> float:
-        return self._loop.time()
-
-    def call_at(self, when: float, callback: Callable[[], None]) -> Subscription:
-        handles: list[asyncio.TimerHandle] = []
-        subscription = Subscription(callback, lambda: handles[0].cancel())
-        handles.append(self._loop.call_at(when, subscription.fire))
-        return subscription
-
-
-@frozen
-class Target:
-    """A target and the host that it is on."""
-
-    #: Name of the host.
-    host: str
-    #: Its failure domain.
-    domain: str
-    #: Service of the target.
-    service: str = "first"
-    #: Calls that it runs at once.
-    slots: int = 9
-    #: How many times as long as usual its work takes.
-    slowness: float = 1.0
-    #: How many times as long again its work takes between two seconds.
-    slows: float = 1.0
-    slow_between: tuple[float, float] = (0.0, math.inf)
-    #: Seconds at which it stops taking calls, and takes them again.
-    gone: tuple[float, float] = (math.inf, math.inf)
-    #: Part of the calls that it refuses though it has room, from some second on.
-    sheds: float = 0.0
-    sheds_from: float = 0.0
-    #: Part of the calls that it runs whose answers are lost, from some second on.
-    loses: float = 0.0
-    loses_from: float = 0.0
-
-
-@frozen
-class CallClass:
-    """Calls of one kind."""
-
-    #: Name, also of the route.
-    name: str
-    #: Calls a second over all hosts.
-    rate: float
-    #: Mean seconds of work, and the spread of its logarithm.
-    work: float
-    #: Seconds of the latency goal.
-    goal: float
-    #: Seconds that callers wait at most; they differ by `patience`.
-    deadline: float
-    #: Service that answers.
-    service: str = "first"
-    #: Index of `PRIORITIES`.
-    priority: int = 0
-    #: What a call earns in its goal; three tenths of it later.
-    worth: float = 1.0
-    #: Whether a call may run twice.
-    idempotent: bool = False
-    #: Spread of the logarithm of the work.
-    spread: float = 0.6
-    #: Part of the calls that make a call of `nested` when their work is done.
-    nested_share: float = 0.0
-    #: Class of the calls that they make.
-    nested: str = ""
-    #: Times that a caller comes back.
-    repeats: int = 2
-    #: Part of the deadline by which callers differ.
-    patience: float = 0.15
-
-
-@define
-class Tally:
-    """How the calls of one class ended."""
-
-    asked: int = 0
-    in_goal: int = 0
-    late: int = 0
-    refused: int = 0
-    failed: int = 0
-    #: Refusals told to callers, also to those that were served later.
-    refusals: int = 0
-    #: Seconds from the first try to the good answer.
-    seconds: list[float] = field(factory=list)
-
-    @property
-    def earned(self) -> float:
-        """Part of what the calls could earn."""
-        return (self.in_goal + 0.3 * self.late) / max(1, self.asked)
-
-
-@frozen
-class Load:
-    """A mesh and what is asked of it."""
-
-    #: The targets; each host also has callers.
-    targets: tuple[Target, ...]
-    #: The calls.
-    classes: tuple[CallClass, ...]
-    #: Seconds for which callers ask.
-    seconds: float = 10.0
-    #: Seconds at the start whose calls are not counted.
-    uncounted: float = 1.0
-    #: How many times the rates callers ask, by time.
-    swell: Callable[[float], float] = lambda _now: 1.0
-
-
-@frozen
-class Outcome:
-    """What came of a load."""
-
-    #: By class.
-    tallies: dict[str, Tally]
-    #: Part of the time for which each target's slots were in use.
-    used: dict[str, float]
-    #: Part of the answers that came from another failure domain.
-    crossed: float
-
-    def of(self, name: str) -> Tally:
-        """The tally of a class."""
-        return self.tallies[name]
-
-
 class _Host:
     """A daemon with the target beside it."""
 
--- a/packages/calls/tests/test_overload.py
+++ b/packages/calls/tests/test_overload.py
@@ -12,7 +12,8 @@
 from typing import Final
 
 from attrs import evolve
-from load_model import CallClass, Load, Outcome, Target, run_load
+from load import CallClass, Load, Outcome, Target
+from load_model import run_load
 
 BROWSE: Final = CallClass(
     name="browse",
