--- a/packages/hosted/src/acaciayard_hosted/_run.py
+++ b/packages/hosted/src/acaciayard_hosted/_run.py
@@ -23,8 +23,9 @@
 __all__ = ["run_platform_daemon"]
 
 #: Objects made, less those freed, after which the collector looks through the young ones, and
-#: such looks after which it looks through older ones.
-_YOUNG_OBJECTS: Final = 20_000
+#: such looks after which it looks through older ones.  With 20,000 a daemon held 26 MB after 1,100
+#: calls in place of 24, for 0.5 to 1 % less processor time a call.
+_YOUNG_OBJECTS: Final = 3_000
 _COLLECTIONS: Final = 10
 #: Seconds between two looks at the settings; one costs 0.1 ms of processor time.
 _LOOK_EVERY: Final = 2.0
