A test for very patient callers that fails without its change

Of the first ten calls of a route the longest deadline still counts as usual, from ten on all but a tenth.

--- a/packages/calls/src/acaciayard_calls/_first_asked.py
+++ b/packages/calls/src/acaciayard_calls/_first_asked.py
@@ -61,12 +61,13 @@
         if is_first:
             self.first_ones.append(seconds)
         self.count += 1
-        if self.count == 1 or self.count % _EVERY == 0:
+        if self.count <= _EVERY or self.count % _EVERY == 0:
             self._work_out()
         return is_first
 
     def _work_out(self) -> None:
-        self.usual = sorted(self.all)[int(len(self.all) * (1 - _UNUSUAL))]
+        unusual = int(len(self.all) * _UNUSUAL)
+        self.usual = sorted(self.all)[-1 - unusual]
         if len(self.first_ones) >= _ENOUGH:
             ordered = sorted(self.first_ones)
             # The very least may be that of one caller unlike all others.
--- a/packages/calls/tests/test_first_asked.py
+++ b/packages/calls/tests/test_first_asked.py
@@ -55,6 +55,14 @@
         self.assertEqual(self.age(0.9), 0)
         self.assertAlmostEqual(self.age(0.64), 0.3, places=6)
 
+    def test_nor_before_callers_are_known(self) -> None:
+        self.first_asked.note_sent_back("r")
+        self.age(3600.0)
+        for told in PATIENCE * 2:
+            self.age(told)
+        self.assertEqual(self.age(0.9), 0)
+        self.assertGreater(self.age(0.64), 0.2)
+
     def test_before_callers_are_known_a_fifth_less_is_a_repeat(self) -> None:
         self.first_asked.note_sent_back("r")
         self.assertEqual(self.age(1.0), 0)
