--- a/packages/hosted/src/acaciayard_hosted/_directory.py
+++ b/packages/hosted/src/acaciayard_hosted/_directory.py
@@ -28,9 +28,9 @@
 #: Seconds after the start from which nothing more is to be heard of the time before it.  Daemons
 #: answer within milliseconds; where all have started at once, nobody remembers anything.
 _SETTLED_AFTER: Final = 0.6
-#: Seconds for which a start waits for the others' version before it reads the store itself.  Those
-#: that run answer in 10 to 40 ms.  Where all hosts had lost their power, the wait for them was 0.27
-#: of the 0.3 to 0.45 s from the power's return to the configuration in force.
+#: Seconds for which a start waits for the others' version before it reads the store itself.  Where
+#: all hosts had lost their power, a wait of 0.27 s for them was most of the 0.3 to 0.45 s from the
+#: power's return to the configuration in force.
 _LOOK_WITHIN: Final = 0.1
 #: Seconds for meeting the daemons that were found: those that have lost their power never answer,
 #: and a start must not wait for them.
