A target is its name and its start; what comes from outside is checked by one set of field types

Cause: a target was known by its name alone. One that started again under its name had its first reports passed over as old ones until its lease ended, a late "draining" of the start before closed the new one's gate, and a start after a leaving got no calls for ever. Late news of a crashed target had the living one at its address withdrawn. Reports with unknown states, endless counts, broken numbers or impossible addresses were taken; some messages of peers ended tasks when they were used.

Change: the time of start is part of the identity in the gate, the records of leavings, what members publish, what an entry learns, kept connections, and logs (event target). A newer start ends the older one at once. A leaving stays published for a lease, so that it outlives its daemon. Clocks that step are thought through in _starts.py. Reports, store pages and records, directory entries, peers' messages: checked types and bounds, neighbours kept, bounded log lines.

Ruled out: requiring the start always (no target of the deployments at hand would be served).

--- a/packages/calls/src/acaciayard_calls/__init__.py
+++ b/packages/calls/src/acaciayard_calls/__init__.py
@@ -19,7 +19,8 @@
 from ._remote import RemoteExchange
 from ._router import Plan, Router
 from ._server import CallServer
-from ._targets import ANNOUNCE_EVERY, LEASE, Announcement, LocalTarget, LocalTargets
+from ._target import Announcement, LocalTarget
+from ._targets import ANNOUNCE_EVERY, LEASE, Heard, LocalTargets, TargetNews
 
 __all__ = [
     "ANNOUNCE_EVERY",
@@ -53,6 +54,7 @@
     "Exchange",
     "Gate",
     "GatePolicy",
+    "Heard",
     "Holding",
     "LevelReport",
     "Loss",
@@ -74,6 +76,7 @@
     "SlotHeld",
     "StreamPool",
     "Taken",
+    "TargetNews",
     "Try",
     "call_pool",
     "loss_of",
--- a/packages/calls/src/acaciayard_calls/_local.py
+++ b/packages/calls/src/acaciayard_calls/_local.py
@@ -37,8 +37,9 @@
 )
 from ._dialect import OWN_DIALECT, Dialect
 from ._header_fields import end_to_end
+from ._target import LocalTarget, TargetConnection
 from ._target_answers import fault_in, may_reuse, refused_by_target
-from ._targets import LocalTarget, LocalTargets, TargetConnection
+from ._targets import LocalTargets
 
 __all__ = ["LocalExchange"]
 
@@ -334,7 +335,7 @@
             if reuse:
                 self._target.give_back(connection)
             else:
-                connection.stream.abort()
+                self._target.discard(connection)
         if self._slot is not None:
             self._slot.release(is_good=self._is_good)
             self._targets.note_ended(self._call)
--- a/packages/calls/src/acaciayard_calls/_messages.py
+++ b/packages/calls/src/acaciayard_calls/_messages.py
@@ -6,9 +6,12 @@
 from collections.abc import Iterable
 from typing import Final
 
-from attrs import frozen
+import attrs
+from attrs import field, frozen
+from attrs.validators import and_, ge, gt, lt
 
 from acaciayard_http1 import Headers
+from acaciayard_resources import PRIORITIES
 from acaciayard_wire import MessageCodec
 
 __all__ = [
@@ -40,6 +43,13 @@
 LARGEST_INLINE_BODY: Final = 16 * 1024
 
 
+def _is_paired(
+    _message: object, attribute: attrs.Attribute[list[bytes]], value: list[bytes]
+) -> None:
+    if len(value) % 2:
+        raise ValueError(f"{attribute.name} has a name without a value")
+
+
 @frozen
 class CallHead:
     """A call, with its body where that is small."""
@@ -57,15 +67,15 @@
     #: Whether `body` is all there is.
     is_whole: bool
     #: Bytes of the body, -1 if unknown.
-    length: int
+    length: int = field(validator=ge(-1))
     #: Priority class.
-    priority: int
+    priority: int = field(validator=and_(ge(0), lt(len(PRIORITIES))))
     #: Seconds left for the call; a duration, since clocks of two hosts do not agree.
-    budget: float
+    budget: float = field(validator=and_(gt(-math.inf), lt(math.inf)))
     #: Identity of the request that targets repeat, empty where there is none.
     request_id: bytes = b""
     #: Seconds for which a slot is worth waiting for, `inf` for as long as it takes.
-    start_within: float = math.inf
+    start_within: float = field(default=math.inf, validator=ge(-math.inf))
     #: Whether running the call twice does no harm.
     is_idempotent: bool = False
     #: Whether a target may have run the call before.
@@ -84,7 +94,7 @@
     """So many bytes more of a large body may be sent now."""
 
     #: The bytes.
-    size: int
+    size: int = field(validator=gt(0))
 
 
 @frozen
@@ -105,7 +115,7 @@
     """A body is whole, in either direction."""
 
     #: Names and values of trailers in turn.
-    trailers: list[bytes]
+    trailers: list[bytes] = field(validator=_is_paired)
 
 
 @frozen
@@ -113,7 +123,7 @@
     """A target's answer, with its body where that is small."""
 
     #: HTTP status.
-    status: int
+    status: int = field(validator=and_(ge(100), lt(1000)))
     #: Rendered header fields.
     fields: bytes
     #: The body, if whole.
@@ -121,11 +131,11 @@
     #: Whether `body` is all there is.
     is_whole: bool
     #: Bytes of the body, -1 if unknown.
-    length: int
+    length: int = field(validator=ge(-1))
     #: Whether the target ends its body by closing.
     ends_by_close: bool
     #: Names and values of trailers in turn, where the body is whole.
-    trailers: list[bytes]
+    trailers: list[bytes] = field(validator=_is_paired)
     #: Calls running and waiting at the target, per slot.
     load: float
     #: Mean seconds that a call takes at the target.
--- a/packages/calls/src/acaciayard_calls/_picker.py
+++ b/packages/calls/src/acaciayard_calls/_picker.py
@@ -9,7 +9,7 @@
 
 from attrs import define
 
-from acaciayard_membership import Member, MemberState, MemberTable, TargetState
+from acaciayard_membership import Member, MemberState, MemberTable, TargetInfo, TargetState
 from acaciayard_timers import TimerService
 from acaciayard_wire import Address
 
@@ -56,6 +56,8 @@
     host: str
     #: Incarnation of its daemon.
     incarnation: int
+    #: Its targets for the service, each by its name and the time of its start.
+    starts: frozenset[tuple[str, int]]
     #: Its failure domain.
     domain: str
     #: Where its daemon takes calls.
@@ -86,6 +88,13 @@
     #: Ejections in a row.
     ejections: int = 0
 
+    def is_same(self, incarnation: int, starts: frozenset[tuple[str, int]]) -> bool:
+        """Whether what was learnt here still tells of these targets.
+
+        One that starts again may be fast where it was slow, and sound where it failed.
+        """
+        return self.incarnation == incarnation and not self.starts.isdisjoint(starts)
+
     def load(self, now: float) -> float:
         """Expected load per slot."""
         told = self.told_load * math.exp(-(now - self.told_at) / _LOAD_MEMORY)
@@ -134,31 +143,28 @@
     # --- who is there -------------------------------------------------------------------------
 
     def _on_member(self, member: Member) -> None:
-        offered: dict[str, tuple[int, int]] = {}
-        if member.is_present:
-            for target in member.targets:
-                slots, state = offered.get(target.service, (0, TargetState.CLOSED))
-                if target.state < TargetState.DRAINING:
-                    slots += target.slots
-                offered[target.service] = (slots, min(state, target.state))
+        offered = _offered_by(member)
         for service in {*self._services, *offered}:
             candidates = self._services.setdefault(service, {})
             if service in offered:
-                slots, state = offered[service]
-                self._update(candidates, member, slots, state)
+                self._update(candidates, member, offered[service])
             else:
                 candidates.pop(member.host, None)
 
     def _update(
-        self, candidates: dict[str, Candidate], member: Member, slots: int, state: int
+        self, candidates: dict[str, Candidate], member: Member, targets: Sequence[TargetInfo]
     ) -> None:
         known = candidates.get(member.host)
-        if known is None or known.incarnation != member.incarnation:
+        starts = frozenset((target.name, target.born) for target in targets)
+        slots = sum(t.slots for t in targets if t.state < TargetState.DRAINING)
+        state = min(target.state for target in targets)
+        if known is None or not known.is_same(member.incarnation, starts):
             now = self._timers.now()
             first_sight = now - self._started < 1.0
             candidates[member.host] = Candidate(
                 host=member.host,
                 incarnation=member.incarnation,
+                starts=starts,
                 domain=member.domain,
                 address=member.calls,
                 slots=slots,
@@ -166,11 +172,16 @@
                 since=float("-inf") if first_sight else now,
             )
             return
+        known.starts = starts
         known.slots = slots
         known.state = state
         known.address = member.calls
         known.is_suspect = member.state == MemberState.SUSPECT
 
+    def candidate(self, service: str, host: str) -> Candidate | None:
+        """What is known here of a host's targets for a service, `None` where it has none."""
+        return self._services.get(service, {}).get(host)
+
     # --- choice -------------------------------------------------------------------------------
 
     def pick(
@@ -316,6 +327,14 @@
             candidate.failure_share = _TOLERATED  # it gets calls again after its ejection
 
 
+def _offered_by(member: Member) -> dict[str, list[TargetInfo]]:
+    """The targets of a host by their service; none where the host is gone."""
+    offered: dict[str, list[TargetInfo]] = {}
+    for target in member.targets if member.is_present else ():
+        offered.setdefault(target.service, []).append(target)
+    return offered
+
+
 def _mean_load(candidates: Sequence[Candidate], now: float) -> float:
     slots = sum(c.slots for c in candidates)
     return sum(c.load(now) * c.slots for c in candidates) / max(1, slots)
--- a/packages/calls/src/acaciayard_calls/_targets.py
+++ b/packages/calls/src/acaciayard_calls/_targets.py
@@ -2,170 +2,72 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
+from enum import Enum
 from typing import Final
 
-from attrs import define, frozen
+from attrs import frozen
 
-from acaciayard_http1 import Limits, ResponseReader
 from acaciayard_membership import TargetInfo, TargetState
 from acaciayard_resources import Configuration, DrainOrder, Service
 from acaciayard_timers import PauseDetector, TimerService
-from acaciayard_wire import Address, ByteStream, Purpose, Traffic, connect
+from acaciayard_wire import Traffic
 
-from ._admission import Gate, GatePolicy
+from ._admission import GatePolicy
 from ._call import Call
+from ._starts import Start, StartRecords
+from ._target import DEFAULT_QUEUE, Announcement, LocalTarget
 
-__all__ = ["ANNOUNCE_EVERY", "LEASE", "Announcement", "LocalTarget", "LocalTargets"]
+__all__ = ["ANNOUNCE_EVERY", "LEASE", "Heard", "LocalTargets", "TargetNews"]
 
 #: Seconds for which an announcement holds.
 LEASE: Final = 4.0
 #: Seconds between announcements that targets are asked to keep.
 ANNOUNCE_EVERY: Final = 1.0
-#: Slots of a target that has just started, as a divisor.
-_STARTING_DIVISOR: Final = 3
-#: Seconds for which an idle connection to a target is used again; targets close idle connections
-#: after some time of their own, and a call sent at that moment is lost.
-_IDLE_FOR: Final = 4.0
 #: What stands between the identity of a call and the ending of one that it has made.
 _NESTED: Final = b"."
-#: Identities of targets that have left, kept so that late news of them does not bring them back.
-_MOST_LEFT: Final = 256
-#: Idle connections kept to a target.
-_IDLE_CONNECTIONS: Final = 32
-_DEFAULT_QUEUE: Final = Service(name="default").queue_length
-#: Limits for what targets answer; generous, since targets are the operators' own.
-_TARGET_LIMITS: Final = Limits(headers=200, head_bytes=128 * 1024)
 
 
-@frozen
-class Announcement:
-    """What a target says of itself."""
-
-    #: Service that it answers for.
-    service: str
-    #: Identity, unique on its host.
-    name: str
-    #: Where it listens.
-    address: Address
-    #: Calls that it runs at once.
-    slots: int
-    #: Connections that it takes.
-    connections: int
-    #: What it is ready for.
-    state: TargetState = TargetState.READY
-    #: Grows with every announcement of a target, 0 where it is not told; older ones that arrive
-    #: late are passed over.
-    sequence: int = 0
-
-
-@define(eq=False)
-class TargetConnection:
-    """A connection to a target, with the reader of its answers."""
-
-    #: The connection.
-    stream: ByteStream
-    #: Reads answers from it.
-    reader: ResponseReader
-    #: When it was last given back.
-    idle_since: float = 0.0
-
-
-class LocalTarget:
-    """One target with its gate and its connections."""
-
-    def __init__(
-        self,
-        announcement: Announcement,
-        *,
-        timers: TimerService,
-        traffic: Traffic,
-        policy: GatePolicy,
-    ) -> None:
-        self._announcement = announcement
-        self._traffic = traffic
-        self._timers = timers
-        self._gate = Gate(
-            slots=announcement.slots, queue_length=_DEFAULT_QUEUE, timers=timers, policy=policy
-        )
-        self._idle: list[TargetConnection] = []
-        self.lease_until = 0.0
-
-    @property
-    def announcement(self) -> Announcement:
-        """What the target said of itself last."""
-        return self._announcement
+class Heard(Enum):
+    """What became of an announcement; the values are the reasons that logs give."""
 
-    @property
-    def gate(self) -> Gate:
-        """Its slots and queue."""
-        return self._gate
-
-    def renew(self, announcement: Announcement, queue_length: int) -> None:
-        """Take a newer announcement."""
-        if announcement.address != self._announcement.address:
-            self.drop_idle()
-        self._announcement = announcement
-        self.set_queue_length(queue_length)
-
-    def set_queue_length(self, queue_length: int) -> None:
-        """Change how many calls may wait."""
-        slots = self._announcement.slots
-        if self._announcement.state is TargetState.STARTING:
-            slots = max(1, slots // _STARTING_DIVISOR)
-        self._gate.resize(slots=slots, queue_length=queue_length)
-
-    def idle_connection(self, youngest: float = math.inf) -> TargetConnection | None:
-        """A connection that is not in use, `None` when there is none.
-
-        `youngest` bounds for how many seconds it may have been idle.
-        """
-        now = self._timers.now()
-        while self._idle:
-            idle = self._idle.pop()
-            seconds = now - idle.idle_since
-            if idle.stream.is_lost or idle.stream.has_unread or seconds > _IDLE_FOR:
-                idle.stream.abort()
-                continue
-            if seconds <= youngest:
-                return idle
-            self._idle.append(idle)
-            return None
-        return None
-
-    async def new_connection(self) -> TargetConnection:
-        """A new connection; raises `StreamLostError` when the target is not there."""
-        address = self._announcement.address
-        stream = await connect(
-            address.ip, address.port, traffic=self._traffic, purpose=Purpose.CALLS
-        )
-        return TargetConnection(stream, ResponseReader(stream, _TARGET_LIMITS))
+    #: It counts.
+    TAKEN = "taken"
+    #: It does not say when its target started, though targets here do.
+    WITHOUT_START = "no time of start"
+    #: That start, or a later one, has left.
+    LEFT = "has left"
+    #: A later start of the target is here.
+    OLDER_START = "older start"
+    #: Something newer of the same start is known.
+    OLDER_REPORT = "older report"
+    #: A target that started later has its address.
+    ADDRESS_TAKEN = "address of a later start"
+    #: It would take the place of a target here for a service that is not configured.
+    UNKNOWN_SERVICE = "unknown service"
 
-    def give_back(self, connection: TargetConnection) -> None:
-        """Keep a connection whose last answer is whole.
 
-        Bytes beyond that answer belong to no request, so they end the connection.
-        """
-        most = min(_IDLE_CONNECTIONS, self._announcement.connections)
-        stream = connection.stream
-        has_more = connection.reader.has_pending or stream.has_unread
-        if stream.is_lost or has_more or len(self._idle) >= most:
-            stream.close()
-        else:
-            connection.idle_since = self._timers.now()
-            self._idle.append(connection)
+@frozen
+class TargetNews:
+    """What changes the belief of this daemon in a target, for logs."""
 
-    def drop_idle(self) -> None:
-        """Close the connections that are not in use."""
-        while self._idle:
-            self._idle.pop().stream.close()
+    #: Name of the target.
+    name: str
+    #: When that start began, in Unix milliseconds; 0 where it is not told.
+    born: int
+    #: What has happened: `announced`, `leaving`, `withdrawn` or `passed_over`.
+    what: str
+    #: Why; empty where that is plain.
+    reason: str = ""
+    #: Count of the announcement that decided it.
+    sequence: int = 0
 
 
 class LocalTargets:
     """All targets on this host.
 
-    `publish` is called with what the other daemons need to know whenever that changes.
+    `publish` is called with what the other daemons need to know whenever that changes, `tell` with
+    every change of what is believed here.
     """
 
     def __init__(
@@ -179,11 +81,13 @@
         lease: float = LEASE,
         policy: GatePolicy = GatePolicy(),  # noqa: B008 - frozen
         is_settled: bool = True,
+        tell: Callable[[TargetNews], None] = lambda _news: None,
     ) -> None:
+        self._tell = tell
         self._is_settled = is_settled
         self._lease = lease
         self._policy = policy
-        self._left: dict[str, None] = {}
+        self._starts = StartRecords(wall=timers.wall, now=timers.now)
         self._running: dict[bytes, Call] = {}
         self._timers = timers
         self._traffic = traffic
@@ -199,29 +103,76 @@
         """Targets that count as running."""
         return tuple(self._targets.values())
 
-    def announce(self, announcement: Announcement) -> None:
+    def announce(self, announcement: Announcement) -> Heard:
         """Take an announcement; a new target is published to the other daemons.
 
-        A target that has said once that it leaves never takes calls again, whatever is heard of
-        it later: identities are not used twice.
+        A start that has said once that it leaves never takes calls again, whatever is heard of it
+        later, and neither does one before it.  A newer start of a target ends the older one.
         """
+        refused = self._passed_over(announcement)
+        if refused is not None:
+            self._note(announcement, "passed_over", refused.value)
+            return refused
+        self._starts.note(announcement.start)
+        self._end_older(announcement)
         target = self._targets.get(announcement.name)
         if target is None:
-            if announcement.name in self._left:
-                return
-            self._withdraw_others_at(announcement)
             target = LocalTarget(
                 announcement, timers=self._timers, traffic=self._traffic, policy=self._policy
             )
             self._targets[announcement.name] = target
-        elif announcement.sequence < target.announcement.sequence:
-            return
+            self._note(announcement, "announced")
         if announcement.sequence and announcement.state is TargetState.DRAINING:
-            self.mark_left(announcement.name)
+            self.mark_left(announcement.name, born=announcement.born)
         target.renew(announcement, self._queue_length(announcement.service))
         target.lease_until = self._timers.now() + self._lease
         self._apply(target)
         self._publish_all()
+        return Heard.TAKEN
+
+    def _note(self, announcement: Announcement, what: str, reason: str = "") -> None:
+        start = announcement.start
+        self._tell(TargetNews(start.name, start.born, what, reason, announcement.sequence))
+
+    def _passed_over(self, announcement: Announcement) -> Heard | None:
+        """Why an announcement changes nothing, `None` where it counts."""
+        start = announcement.start
+        if not start.born and self._starts.are_told:
+            return Heard.WITHOUT_START
+        known = self._targets.get(start.name)
+        if known is None:
+            if self._starts.has_left(start):
+                return Heard.LEFT
+        elif start.born < known.announcement.born:
+            return Heard.OLDER_START
+        elif start == known.announcement.start:
+            is_old = announcement.sequence < known.announcement.sequence
+            return Heard.OLDER_REPORT if is_old else None
+        others = [t for t in self._targets.values() if _has_its_address(t, announcement)]
+        if any(other.announcement.born > announcement.born for other in others):
+            # An announcement that a cut held up may come when its sender has crashed and another
+            # target has its address; taken, it would have the living one withdrawn.
+            return Heard.ADDRESS_TAKEN
+        if (others or known is not None) and not self._is_configured(announcement.service):
+            return Heard.UNKNOWN_SERVICE
+        return None
+
+    def _is_configured(self, service: str) -> bool:
+        """Whether the configuration in force has the service, or there is none yet."""
+        configuration = self._configuration
+        return configuration is None or configuration.find(Service, service) is not None
+
+    def _end_older(self, announcement: Announcement) -> None:
+        """End an earlier start of this target, and what was at its address before."""
+        known = self._targets.get(announcement.name)
+        if known is not None and known.announcement.start != announcement.start:
+            del self._targets[announcement.name]
+            known.cut("the target has started again")
+            self._note(known.announcement, "withdrawn", "the target has started again")
+        for other in list(self._targets.values()):
+            if announcement.sequence and _has_its_address(other, announcement):
+                self.mark_left(other.announcement.name, born=other.announcement.born)
+                self.withdraw(other.announcement.name, "another target has its address")
 
     def note_running(self, call: Call) -> None:
         """A call runs at a target here."""
@@ -245,30 +196,41 @@
         target = self.pick(service)
         return target is not None and target.gate.load >= 1
 
-    def mark_left(self, name: str) -> None:
-        """Remember that a target leaves or has left, also one that is not known here."""
-        self._left.pop(name, None)
-        self._left[name] = None
-        if len(self._left) > _MOST_LEFT:
-            del self._left[next(iter(self._left))]
+    def mark_left(self, name: str, *, born: int = 0) -> None:
+        """Remember that a start of a target leaves or has left, also one that is not known here.
+
+        Without the time of its start the one that is known here is meant.
+        """
         target = self._targets.get(name)
+        if target is not None and not born:
+            born = target.announcement.born
+        start = Start(name, born)
+        if not self._starts.has_left(start):
+            self._tell(TargetNews(name, born, "leaving"))
+        self._starts.leave(start)
         if target is not None:
             self._apply(target)
 
-    def _withdraw_others_at(self, announcement: Announcement) -> None:
-        """A new target at an address means that the one before it is gone."""
-        for name, target in list(self._targets.items()):
-            if announcement.sequence and target.announcement.address == announcement.address:
-                self.mark_left(name)
-                self.withdraw(name, "another target has its address")
+    def leave(self, name: str, *, born: int = 0) -> None:
+        """A start of a target has left; a newer one that is here stays.
+
+        It is published as leaving for one lease more, so that the others still know it when this
+        daemon is restarted meanwhile: some targets go on working, and announcing themselves, for
+        seconds after they have said that they leave.
+        """
+        self.mark_left(name, born=born)
+        target = self._targets.get(name)
+        if target is not None and self._starts.has_left(target.announcement.start):
+            target.lease_until = self._timers.now() + self._lease
+            self._publish_all()
 
     def withdraw(self, name: str, reason: str) -> bool:
         """Forget a target that is gone; false when it was not known."""
         target = self._targets.pop(name, None)
         if target is None:
             return False
-        target.gate.close(reason)
-        target.drop_idle()
+        target.end(reason)
+        self._note(target.announcement, "withdrawn", reason)
         self._publish_all()
         return True
 
@@ -316,7 +278,7 @@
 
     def _queue_length(self, service: str) -> int:
         found = self._configuration.find(Service, service) if self._configuration else None
-        return found.queue_length if found is not None else _DEFAULT_QUEUE
+        return found.queue_length if found is not None else DEFAULT_QUEUE
 
     def _apply(self, target: LocalTarget) -> None:
         """Open or close the gate of a target."""
@@ -331,7 +293,7 @@
             return "this daemon has just started and does not know yet which targets leave"
         if self._stopping:
             return "the daemon of this host shuts down"
-        if announcement.state is TargetState.DRAINING or announcement.name in self._left:
+        if announcement.state is TargetState.DRAINING or self._starts.has_left(announcement.start):
             return "the target drains"
         if self._configuration is not None:
             for order in self._configuration.all_of(DrainOrder):
@@ -347,6 +309,7 @@
                     name=target.announcement.name,
                     slots=target.announcement.slots,
                     state=int(self._state_of(target)),
+                    born=target.announcement.born,
                 )
                 for target in self._targets.values()
             )
@@ -354,8 +317,14 @@
 
     def _state_of(self, target: LocalTarget) -> TargetState:
         """What the other daemons are told of a target."""
-        if target.announcement.name in self._left:
+        if self._starts.has_left(target.announcement.start):
             return TargetState.DRAINING
         if target.gate.is_closed and target.announcement.state is not TargetState.DRAINING:
             return TargetState.CLOSED
         return target.announcement.state
+
+
+def _has_its_address(target: LocalTarget, announcement: Announcement) -> bool:
+    """Whether a target of another name has the address that is announced."""
+    known = target.announcement
+    return known.name != announcement.name and known.address == announcement.address
--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -18,6 +18,7 @@
     Picker,
     ServiceLevels,
     SharedRetryBudgets,
+    TargetNews,
     call_pool,
 )
 from acaciayard_http1 import HttpService
@@ -114,9 +115,9 @@
     def _publish(self, targets: tuple[TargetInfo, ...]) -> None:
         if self._members is None:
             return
-        before = {t.name for t in self._members.table.own.targets if _leaves(t)}
+        before = {(t.name, t.born) for t in self._members.table.own.targets if _leaves(t)}
         self._members.table.set_targets(targets)
-        if any(_leaves(t) and t.name not in before for t in targets):
+        if any(_leaves(t) and (t.name, t.born) not in before for t in targets):
             # The promise that a leaving target gets nothing new must outlive this process.
             self._members.flush()
 
@@ -124,8 +125,20 @@
         """Take over from the others what this host had promised before its last start."""
         for target in past.targets:
             if _leaves(target) and past.state != MemberState.LEFT:
-                self._log.info("leaving_recalled", target=target.name, of=past.incarnation)
-                targets.mark_left(target.name)
+                self._log.info(
+                    "leaving_recalled", target=target.name, born=target.born, of=past.incarnation
+                )
+                targets.mark_left(target.name, born=target.born)
+
+    def _log_target(self, news: TargetNews) -> None:
+        self._log.info(
+            "target",
+            target=news.name,
+            born=news.born or None,
+            what=news.what,
+            reason=news.reason or None,
+            sequence=news.sequence or None,
+        )
 
     def _log_member(self, before: Member | None, now: Member) -> None:
         if before is None or before.state != now.state or before.incarnation != now.incarnation:
@@ -154,6 +167,7 @@
             lease=settings.announce_every * _ANNOUNCEMENTS_MISSED,
             policy=_GATE_POLICY,
             is_settled=False,
+            tell=self._log_target,
         )
         calls = CallServer(
             targets=targets,
@@ -324,7 +338,7 @@
         opened = []
         for address, handler in (
             (settings.readiness, readiness.answer),
-            (settings.announcements, self._platform.announcements(targets)),
+            (settings.announcements, self._platform.announcements(targets, self._log)),
             (settings.metrics, page.answer),
         ):
             service = HttpService(handler, traffic=self._traffic)
--- a/packages/hosted/src/acaciayard_hosted/_directory.py
+++ b/packages/hosted/src/acaciayard_hosted/_directory.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import anyio
 import anyio.abc
 import structlog
 
-from acaciayard_logservice import Appended, KeyedLog, KeyedSlice, Unavailable
+from acaciayard_logservice import Appended, KeyedLog, KeyedRecord, KeyedSlice, Unavailable
 from acaciayard_membership import Membership
 from acaciayard_timers import TimerService
 from acaciayard_wire import Address
@@ -35,6 +35,8 @@
 #: Seconds for meeting the daemons that were found: those that have lost their power never answer,
 #: and a start must not wait for them.
 _MEET_WITHIN: Final = 0.25
+#: Characters of an entry and of what is wrong with it that a log line repeats.
+_SHOWN: Final = 80
 #: Seconds between two tries to write the own record.
 _PUT_EVERY: Final = 0.5
 
@@ -98,8 +100,8 @@
 
     async def _look(self) -> None:
         match await self._store.newest(STREAM):
-            case KeyedSlice(records):
-                addresses = self._strangers(record.value for record in records)
+            case KeyedSlice(records, unreadable=unreadable):
+                addresses = self._strangers(records)
                 chosen = self._seed.sample(addresses, min(_MOST_MET, len(addresses)))
                 met = 0
                 with self._timers.timeout(_MEET_WITHIN):
@@ -109,6 +111,7 @@
                 self._log.info(
                     "directory_read",
                     listed=len(records),
+                    unreadable=unreadable or None,
                     asked=len(chosen),
                     met=met,
                     members=self._members.table.present_count,
@@ -123,14 +126,27 @@
             with self._timers.timeout(_MEET_WITHIN):
                 await self._relay.ask(self._seed.choice(others).control)
 
-    def _strangers(self, values: object) -> list[Address]:
-        known = {member.control for member in self._members.table.present()}
+    def _strangers(self, records: Iterable[KeyedRecord]) -> list[Address]:
+        """Where daemons that are not known here say that they are met.
+
+        An entry that cannot be read, or that others have written in the name of this host, names
+        nobody; the others hold.
+        """
+        table = self._members.table
+        known = {member.control for member in table.present()}
         found = set()
-        for value in values:  # type: ignore[attr-defined]
+        unreadable = []
+        for record in records:
+            if record.key == table.own.host:
+                continue
             try:
-                found.add(Address.parse(value.decode()))
-            except (UnicodeDecodeError, ValueError) as error:
-                self._log.warning("directory_entry_unreadable", reason=str(error))
+                found.add(Address.parse(record.value.decode()))
+            except ValueError as error:
+                unreadable.append(f"{record.key[:_SHOWN]}: {str(error)[:_SHOWN]}")
+        if unreadable:
+            self._log.warning(
+                "directory_entries_unreadable", count=len(unreadable), first=unreadable[0]
+            )
         return sorted(found - known)
 
     def _on_stranger(self, address: Address) -> None:
--- a/packages/hosted/src/acaciayard_hosted/_follower.py
+++ b/packages/hosted/src/acaciayard_hosted/_follower.py
@@ -119,6 +119,8 @@
                     await self._missed(reason)
 
     def _take(self, found: KeyedSlice) -> bool:
+        if found.unreadable:
+            self._log.warning("store_records_unreadable", count=found.unreadable)
         values = [record.value for record in found.records if record.key == self._place.key]
         if not values:
             return False
--- a/packages/hosted/src/acaciayard_hosted/_platform.py
+++ b/packages/hosted/src/acaciayard_hosted/_platform.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from attrs import frozen
+from structlog.typing import FilteringBoundLogger
 
 from acaciayard_calls import Dialect, LocalTargets
 from acaciayard_http1 import HttpReply, RequestHead
@@ -47,8 +48,8 @@
     read_configuration: ConfigurationReader
     #: Makes the client of the store.
     open_store: OpenStore
-    #: Makes the handler of what targets announce.
-    announcements: Callable[[LocalTargets], Handler]
+    #: Makes the handler of what targets announce; it logs what it cannot use.
+    announcements: Callable[[LocalTargets, FilteringBoundLogger], Handler]
     #: Path at which the platform asks whether the daemon is ready.
     readiness_path: bytes
     #: Reads the settings again; raises `FindingsError`.
--- a/packages/logservice/src/acaciayard_logservice/_interface.py
+++ b/packages/logservice/src/acaciayard_logservice/_interface.py
@@ -116,6 +116,8 @@
     records: tuple[KeyedRecord, ...]
     #: From where to read on.
     next_offset: int
+    #: Records among them that could not be read; they say nothing about the others.
+    unreadable: int = 0
 
 
 class KeyedLog(ABC):
--- a/packages/membership/src/acaciayard_membership/_member.py
+++ b/packages/membership/src/acaciayard_membership/_member.py
@@ -2,14 +2,37 @@
 
 from __future__ import annotations
 
+import math
 from enum import IntEnum
-from typing import Any
+from ipaddress import IPv4Address
+from typing import Any, Final
 
-from attrs import evolve, frozen
+import attrs
+from attrs import evolve, field, frozen
+from attrs.validators import and_, ge, in_, instance_of, le, lt, max_len
 
 from acaciayard_wire import Address
 
-__all__ = ["Member", "MemberState", "TargetInfo", "TargetState"]
+__all__ = ["PORT", "Member", "MemberState", "TargetInfo", "TargetState", "is_ip"]
+
+#: Characters of a name; those of hosts, targets and services are some tens long.
+_LONGEST_NAME: Final = 250
+#: Targets on one host; it has one or two, and some that leave.
+_MOST_TARGETS: Final = 300
+_NAME: Final = and_(instance_of(str), max_len(_LONGEST_NAME))
+_COUNT: Final = and_(instance_of(int), ge(0), lt(2**63))
+#: Validates a port number; 0 where there is no such port.
+PORT: Final = and_(instance_of(int), ge(0), le(65535))
+
+
+def is_ip(_message: object, _attribute: attrs.Attribute[str], value: str) -> None:
+    """Validates an IPv4 number; a name would be looked up, and nothing here may wait for that."""
+    IPv4Address(value)  # raises ValueError
+
+
+def _is_bandwidth(_member: object, attribute: attrs.Attribute[float], value: float) -> None:
+    if not (math.isfinite(value) and value >= 0):
+        raise ValueError(f"{attribute.name} is {value}")
 
 
 class MemberState(IntEnum):
@@ -43,47 +66,52 @@
     """A target as the other daemons need to know it."""
 
     #: Service that it answers for.
-    service: str
+    service: str = field(validator=_NAME)
     #: Identity, unique on its host.
-    name: str
+    name: str = field(validator=_NAME)
     #: Calls that it runs at once.
-    slots: int
+    slots: int = field(validator=_COUNT)
     #: What it says of itself.
-    state: int = TargetState.READY
+    state: int = field(default=TargetState.READY, validator=in_(frozenset(TargetState)))
+    #: When it started, in Unix milliseconds by the clock of its host; 0 where it does not tell.
+    born: int = field(default=0, validator=_COUNT)
 
 
 @frozen
 class Member:
     """One daemon, as of one moment that it chose itself.
 
+    Records come from other daemons, and perhaps from other writers: what is out of bounds raises
+    `ValueError` here, so that no part need ask again whether a state or a port is one.
+
     Records of one daemon are ordered by `(incarnation, sequence, state)`; the greatest wins,
     whatever the order in which they arrive.
     """
 
     #: Name of the host.
-    host: str
+    host: str = field(validator=and_(_NAME, attrs.validators.min_len(1)))
     #: Grows with every start of the daemon.
-    incarnation: int
+    incarnation: int = field(validator=_COUNT)
     #: Grows with every change that the daemon makes to its record.
-    sequence: int
+    sequence: int = field(validator=_COUNT)
     #: What is believed of it.
-    state: int
+    state: int = field(validator=in_(frozenset(MemberState)))
     #: Failure domain.
-    domain: str
+    domain: str = field(validator=_NAME)
     #: IP number of all its ports.
-    ip: str
+    ip: str = field(validator=is_ip)
     #: Port for daemons, TCP and UDP.
-    control_port: int
+    control_port: int = field(validator=PORT)
     #: Port for calls between daemons.
-    call_port: int
+    call_port: int = field(validator=PORT)
     #: Port for operators and for the targets on its host.
-    api_port: int
+    api_port: int = field(validator=PORT)
     #: Targets on its host.
-    targets: tuple[TargetInfo, ...] = ()
+    targets: tuple[TargetInfo, ...] = field(default=(), validator=max_len(_MOST_TARGETS))
     #: Whether the platform's store answers it.
     is_fed: bool = True
     #: Bandwidth of its link in Mbit/s, 0 where it is not known.
-    link_mbps: float = 0.0
+    link_mbps: float = field(default=0.0, validator=_is_bandwidth)
 
     def with_changes(self, **changes: Any) -> Member:
         """A copy with some attributes changed."""
--- a/packages/membership/src/acaciayard_membership/_messages.py
+++ b/packages/membership/src/acaciayard_membership/_messages.py
@@ -8,11 +8,11 @@
 
 from typing import Final
 
-from attrs import frozen
+from attrs import field, frozen
 
 from acaciayard_wire import MessageCodec
 
-from ._member import Member
+from ._member import PORT, Member, is_ip
 
 __all__ = [
     "MEMBERSHIP_MESSAGES",
@@ -64,9 +64,9 @@
     #: Number for the answer to carry back.
     number: int
     #: IP number of the member.
-    ip: str
+    ip: str = field(validator=is_ip)
     #: Control port of the member.
-    port: int
+    port: int = field(validator=PORT)
 
 
 @frozen
--- a/packages/wire/src/acaciayard_wire/_codec.py
+++ b/packages/wire/src/acaciayard_wire/_codec.py
@@ -71,23 +71,25 @@
     def decode(self, packed: bytes) -> object:
         """The message that `packed` holds; raises `MessageError`."""
         try:
-            return self.structure(msgpack.unpackb(packed))
+            parts = msgpack.unpackb(packed)
         except (ValueError, msgpack.exceptions.UnpackException) as error:
             raise MessageError(f"not msgpack: {error}") from error
+        return self.structure(parts)
 
     def structure(self, parts: Any) -> object:
         """The message made of unpacked `parts`; raises `MessageError`."""
         if not isinstance(parts, list) or not parts:
             raise MessageError("a message is an array that starts with its code")
-        cls = self._classes.get(parts[0])
+        code = parts[0]
+        cls = self._classes.get(code) if isinstance(code, int) else None
         if cls is None:
-            raise MessageError(f"unknown message code {parts[0]!r}")
+            raise MessageError("unknown message code")
         return self._build(cls, parts[1:])
 
     def _build(self, cls: type[_Message], fields: list[Any]) -> _Message:
         if shape := self._shapes.get(cls):
             shape.check(fields)
-            return cls(*fields)
+            return _checked(cls, fields)
         known = attrs.fields(cls)
         try:
             return self._converter.structure(tuple(fields[: len(known)]), cls)
@@ -105,6 +107,8 @@
     take: Callable[[Any], tuple[Any, ...]]
     #: What each field may hold.
     allowed: tuple[tuple[type, ...], ...]
+    #: What the items of each field may be, where it is a list.
+    items: tuple[type | None, ...]
     #: How many fields have no default.
     required: int
 
@@ -113,9 +117,23 @@
         if len(fields) < self.required:
             raise MessageError(f"{self.name}: {len(fields)} fields, {self.required} needed")
         del fields[len(self.allowed) :]
-        for value, allowed in zip(fields, self.allowed, strict=False):
+        for value, allowed, item in zip(fields, self.allowed, self.items, strict=False):
             if not isinstance(value, allowed):
                 raise MessageError(f"{self.name}: {type(value).__name__} where {allowed} is due")
+            if item is not None and not _holds_only(value, item):
+                raise MessageError(f"{self.name}: a list holds something else than {item}")
+
+
+def _holds_only(values: Any, item: type) -> bool:
+    return all(isinstance(value, item) for value in values)
+
+
+def _checked(cls: type[_Message], fields: list[Any]) -> _Message:
+    """An instance whose validators have passed; raises `MessageError`."""
+    try:
+        return cls(*fields)
+    except (ValueError, TypeError) as error:
+        raise MessageError(f"{cls.__name__}: {error.args[0] if error.args else error}") from error
 
 
 def _resolve(cls: type) -> None:
@@ -131,13 +149,16 @@
     """The shape of a plain class, or `None` where a converter is needed."""
     hints = typing.get_type_hints(cls)
     allowed: list[tuple[type, ...]] = []
+    items: list[type | None] = []
     attributes = attrs.fields(cls)
     for attribute in attributes:
         hint = hints[attribute.name]
         if hint in _PLAIN:
             allowed.append(_ALLOWED[hint])
+            items.append(None)
         elif typing.get_origin(hint) is list and typing.get_args(hint)[0] in _PLAIN:
             allowed.append((list,))
+            items.append(typing.get_args(hint)[0])
         else:
             return None
     names = [attribute.name for attribute in attributes]
@@ -145,6 +166,7 @@
         name=cls.__name__,
         take=_taker(names),
         allowed=tuple(allowed),
+        items=tuple(items),
         required=sum(a.default is attrs.NOTHING for a in attributes),
     )
 
--- a/packages/wire/src/acaciayard_wire/_control.py
+++ b/packages/wire/src/acaciayard_wire/_control.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from ipaddress import IPv4Address
 from typing import Any, Final, cast
 
 import anyio
@@ -17,6 +18,9 @@
 
 __all__ = ["Address", "ControlPort", "DatagramHandler", "StreamHandler"]
 
+#: The largest port number, and its digits.
+_LARGEST_PORT: Final = 65535
+_PORT_DIGITS: Final = 5
 #: Tries to find a port number that is free for streams and for datagrams.
 _PORT_TRIES: Final = 20
 
@@ -32,11 +36,17 @@
 
     @classmethod
     def parse(cls, text: str) -> Address:
-        """The address in `"ip:port"`; raises `ValueError`."""
+        """The address in `"ip:port"`, with an IPv4 number; raises `ValueError`.
+
+        Example:
+            Address.parse("10.1.0.35:8145")         # Address("10.1.0.35", 8145)
+            Address.parse("999.1.1.1:80")           # ValueError
+        """
         ip, _, port = text.rpartition(":")
-        if not ip:
+        is_number = port.isascii() and port.isdecimal() and len(port) <= _PORT_DIGITS
+        if not is_number or not 0 < int(port) <= _LARGEST_PORT:
             raise ValueError(f"{text!r} is not ip:port")
-        return cls(ip, int(port))
+        return cls(str(IPv4Address(ip)), int(port))
 
     def __str__(self) -> str:
         return f"{self.ip}:{self.port}"
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -12,6 +12,8 @@
 from pathlib import Path
 from typing import Final
 
+import hypothesis
+
 ROOT: Final = Path(__file__).resolve().parent.parent
 KNOWN_RED: Final = ROOT / "KNOWN-RED.txt"
 MOST_KNOWN_RED: Final = 3
@@ -43,6 +45,20 @@
         super().addSuccess(test)
 
 
+def set_up_properties() -> None:
+    """Judge properties by what they find, and not by how long a busy machine takes for it.
+
+    A failing example is printed in a form that plays it again.
+    """
+    hypothesis.settings.register_profile(
+        "workspace",
+        deadline=None,
+        suppress_health_check=[hypothesis.HealthCheck.too_slow],
+        print_blob=True,
+    )
+    hypothesis.settings.load_profile("workspace")
+
+
 def known_red() -> dict[str, str]:
     """Tests that may fail, with the rest of their line."""
     if not KNOWN_RED.exists():
@@ -77,6 +93,7 @@
     runner = unittest.TextTestRunner(
         stream=sys.stdout, resultclass=Result, verbosity=2 if options.verbose else 1
     )
+    set_up_properties()
     result = runner.run(load(options.only))
     assert isinstance(result, Result)
     red = known_red()
