--- a/packages/calls/src/acaciayard_calls/__init__.py
+++ b/packages/calls/src/acaciayard_calls/__init__.py
@@ -4,6 +4,7 @@
 from ._attempt import Answered, Attempt, CallParts
 from ._budgets import CallerLimiter, RetryBudgets, SharedRetryBudgets
 from ._call import Answer, Call, CallWatch, Exchange, NotRun, OutcomeUnknown
+from ._candidates import Candidate
 from ._claimer import AnswerStore, Claimed, Claimer, Taken
 from ._claims import ClaimBook, ClaimHome, Holding
 from ._dialect import OWN_DIALECT, Dialect
@@ -14,7 +15,7 @@
 from ._local import LocalExchange
 from ._losses import Loss, loss_of
 from ._messages import CLAIM_MESSAGES, ClaimAnswer, ClaimRequest, ReleaseRequest
-from ._picker import Candidate, Picker
+from ._picker import Picker
 from ._pool import StreamPool, call_pool
 from ._remote import RemoteExchange
 from ._router import Plan, Router
--- a/packages/calls/src/acaciayard_calls/_attempt.py
+++ b/packages/calls/src/acaciayard_calls/_attempt.py
@@ -13,9 +13,10 @@
 
 from ._budgets import RetryBudgets
 from ._call import Answer, Call, NotRun, OutcomeUnknown
+from ._candidates import Candidate
 from ._dialect import Dialect
 from ._local import LocalExchange
-from ._picker import Candidate, Picker
+from ._picker import Picker
 from ._pool import StreamPool
 from ._remote import RemoteExchange
 from ._targets import LocalTargets
--- a/packages/calls/src/acaciayard_calls/_offers.py
+++ b/packages/calls/src/acaciayard_calls/_offers.py
@@ -7,7 +7,8 @@
 from attrs import frozen
 
 from ._call import NotRun
-from ._picker import Candidate, Picker
+from ._candidates import Candidate
+from ._picker import Picker
 from ._router import Plan, Router
 
 __all__ = ["MOST_OFFERS", "Offer", "Offers"]
--- a/packages/calls/src/acaciayard_calls/_picker.py
+++ b/packages/calls/src/acaciayard_calls/_picker.py
@@ -2,24 +2,19 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Collection, Sequence
 from typing import Final
 
-from attrs import define
-
 from acaciayard_membership import Member, MemberState, MemberTable, TargetInfo, TargetState
 from acaciayard_timers import TimerService
-from acaciayard_wire import Address
 
 from ._call import Answer, NotRun, OutcomeUnknown
+from ._candidates import FAILURE_MEMORY, TOLERATED, Candidate, Candidates
 from ._router import Plan, Router
 
-__all__ = ["Candidate", "Picker"]
+__all__ = ["Picker"]
 
-#: Seconds in which what a host told of its load loses two thirds of its weight.
-_LOAD_MEMORY: Final = 2.0
 #: Failed calls in a row that eject a host.
 _FAILURES_TO_EJECT: Final = 5
 #: Share of failed calls, smoothed, that ejects a host even when some succeed.
@@ -29,10 +24,6 @@
 _EJECTION: Final = (1.0, 30.0)
 #: Share of hosts that must be left for ejections to be heeded at all.
 _PANIC_SHARE: Final = 0.5
-#: Hosts of the own failure domain, and of the others, that one call looks at.  The load of a domain
-#: is reckoned from them and three of them are compared.  A choice among 560 hosts took 529 us where
-#: it looked at all of them, and takes 66 (13 hosts: 55; one run on a busy machine).
-_LOOKED_AT: Final = 12
 #: Hosts that are compared for one call.
 _CHOICES: Final = 3
 #: Load per slot from which a wait is to be expected, and how much more load beyond it counts.
@@ -42,134 +33,8 @@
 _FULL: Final = 1.0
 #: Share of good answers below which a worse one makes no further difference.
 _LEAST_GOOD: Final = 0.1
-#: Share of failures that says nothing yet: with a smoothing of a tenth, two in a row.
-_TOLERATED: Final = 0.2
-#: Seconds in which a failure loses two thirds of its weight against a host.
-_FAILURE_MEMORY: Final = 3.0
 #: The same for calls that must not run twice: others try first whether a target has recovered.
 _LONG_FAILURE_MEMORY: Final = 10.0
-#: Share of the calls that a target gets which has just come.
-_COLD_SHARE: Final = 0.1
-
-
-@define(eq=False)
-class Candidate:
-    """A host with a target of a service, as seen by this daemon."""
-
-    #: Name of the host.
-    host: str
-    #: Incarnation of its daemon.
-    incarnation: int
-    #: Its targets for the service, each by its name and the time of its start.
-    starts: frozenset[tuple[str, int]]
-    #: Its failure domain.
-    domain: str
-    #: Where its daemon takes calls.
-    address: Address
-    #: Slots of its targets for the service.
-    slots: int
-    #: What they say of themselves.
-    state: int
-    #: When it was first seen.
-    since: float
-    #: Whether the host is suspected to have failed.
-    is_suspect: bool = False
-    #: Mean seconds that a call takes there, as it told last; 0 before.
-    pace: float = 0.0
-    #: Calls from this daemon that are under way.
-    outstanding: int = 0
-    #: Load per slot that it told last, and when.
-    told_load: float = 0.0
-    told_at: float = 0.0
-    #: Failed calls in a row.
-    failures: int = 0
-    #: Smoothed share of failed calls.
-    failure_share: float = 0.0
-    #: When it failed last.
-    failed_at: float = 0.0
-    #: Until when it gets no calls.
-    ejected_until: float = 0.0
-    #: Ejections in a row.
-    ejections: int = 0
-
-    def is_same(self, incarnation: int, starts: frozenset[tuple[str, int]]) -> bool:
-        """Whether what was learnt here still tells of these targets.
-
-        One that starts again may be fast where it was slow, and sound where it failed.
-        """
-        return self.incarnation == incarnation and not self.starts.isdisjoint(starts)
-
-    def load(self, now: float) -> float:
-        """Expected load per slot."""
-        told = self.told_load * math.exp(-(now - self.told_at) / _LOAD_MEMORY)
-        return max(told, self.outstanding / max(1, self.slots))
-
-    def failing(self, now: float) -> float:
-        """Share of its calls that it refuses or fails, as far as that is not long ago."""
-        if not self.failure_share:
-            return 0.0
-        return self.failure_share * math.exp(-(now - self.failed_at) / _FAILURE_MEMORY)
-
-    def is_sound(self, now: float, memory: float) -> bool:
-        """Whether it fails few of its calls; two thirds are forgotten in `memory` seconds."""
-        if self.failure_share <= _TOLERATED:
-            return True
-        return self.failure_share * math.exp(-(now - self.failed_at) / memory) <= _TOLERATED
-
-    def warmth(self, now: float, warm_up: float) -> float:
-        """Share of its slots that counts, growing while it warms up."""
-        share = _COLD_SHARE if self.state == TargetState.STARTING else 1.0
-        age = now - self.since
-        if age < warm_up:
-            share = min(share, _COLD_SHARE + (1 - _COLD_SHARE) * age / warm_up)
-        return share
-
-
-class _Candidates:
-    """The hosts with targets of one service, those of the own failure domain apart.
-
-    One call looks at some of them, drawn anew each time: all of the few in a small mesh, and a
-    fixed number on each side in a large one, so that a choice costs the same at any size.
-    """
-
-    def __init__(self, own_domain: str) -> None:
-        self._own_domain = own_domain
-        self._hosts: dict[str, Candidate] = {}
-        self._near: list[Candidate] = []
-        self._far: list[Candidate] = []
-
-    @property
-    def all(self) -> Collection[Candidate]:
-        """All of them."""
-        return self._hosts.values()
-
-    def find(self, host: str) -> Candidate | None:
-        """What is known of a host, `None` where it has no such target."""
-        return self._hosts.get(host)
-
-    def add(self, candidate: Candidate) -> None:
-        """Take a host, in the place of what was known of it."""
-        self._hosts[candidate.host] = candidate
-        self._sort()
-
-    def drop(self, host: str) -> None:
-        """Forget a host."""
-        if self._hosts.pop(host, None) is not None:
-            self._sort()
-
-    def _sort(self) -> None:
-        self._near = [c for c in self._hosts.values() if c.domain == self._own_domain]
-        self._far = [c for c in self._hosts.values() if c.domain != self._own_domain]
-
-    def some(self, seed: random.Random) -> Collection[Candidate]:
-        """Those that one call looks at."""
-        if len(self._hosts) <= 2 * _LOOKED_AT:
-            return self._hosts.values()
-        near, far = (
-            side if len(side) <= _LOOKED_AT else seed.sample(side, _LOOKED_AT)
-            for side in (self._near, self._far)
-        )
-        return [*near, *far]
 
 
 class Picker:
@@ -185,7 +50,7 @@
         self._table = table
         self._timers = timers
         self._seed = seed
-        self._services: dict[str, _Candidates] = {}
+        self._services: dict[str, Candidates] = {}
         self._started = timers.now()
         table.subscribe(lambda _before, now: self._on_member(now))
         for member in table.present():
@@ -197,14 +62,14 @@
         offered = _offered_by(member)
         own_domain = self._table.own.domain
         for service in {*self._services, *offered}:
-            candidates = self._services.setdefault(service, _Candidates(own_domain))
+            candidates = self._services.setdefault(service, Candidates(own_domain))
             if service in offered:
                 self._update(candidates, member, offered[service])
             else:
                 candidates.drop(member.host)
 
     def _update(
-        self, candidates: _Candidates, member: Member, targets: Sequence[TargetInfo]
+        self, candidates: Candidates, member: Member, targets: Sequence[TargetInfo]
     ) -> None:
         known = candidates.find(member.host)
         starts = frozenset((target.name, target.born) for target in targets)
@@ -293,7 +158,7 @@
         can be repeated as the budget allows.  Where six targets of ten lose two answers in five,
         lost calls fell from 18 to 10 in 100 with a load of three quarters (`test_overload`).
         """
-        memory = _FAILURE_MEMORY if may_repeat else _LONG_FAILURE_MEMORY
+        memory = FAILURE_MEMORY if may_repeat else _LONG_FAILURE_MEMORY
         sound = [c for c in usable if c.is_sound(now, memory)]
         if not sound or len(sound) == len(usable):
             return usable
@@ -395,7 +260,7 @@
             candidate.ejected_until = now + seconds * self._seed.uniform(0.8, 1.2)
             candidate.ejections += 1
             candidate.failures = _FAILURES_TO_EJECT - 1
-            candidate.failure_share = _TOLERATED  # it gets calls again after its ejection
+            candidate.failure_share = TOLERATED  # it gets calls again after its ejection
 
 
 def _offered_by(member: Member) -> dict[str, list[TargetInfo]]:
@@ -429,5 +294,5 @@
     load = (candidate.load(now) * candidate.slots + 1) / counted
     crowd = load + max(0.0, load - _FREE_SHARE) * _CROWD_WEIGHT
     failed = candidate.failing(now)
-    good = max(_LEAST_GOOD, 1 - failed) if failed > _TOLERATED else 1.0
+    good = max(_LEAST_GOOD, 1 - failed) if failed > TOLERATED else 1.0
     return (candidate.pace or usual) * (1 + crowd) / good
--- a/packages/calls/tests/test_call_run.py
+++ b/packages/calls/tests/test_call_run.py
@@ -8,9 +8,10 @@
 
 import anyio
 import anyio.abc
+import attrs
 from call_rig import IP, Host, Rig, ScriptedTarget, answer, router
 
-from acaciayard_calls import Answered, CallWatch, NotRun, OutcomeUnknown, Router, SlotHeld
+from acaciayard_calls import Answered, CallWatch, Heard, NotRun, OutcomeUnknown, Router, SlotHeld
 from acaciayard_calls._messages import CALL_CODEC, Admitted, Ask
 from acaciayard_http1 import RequestHead
 from acaciayard_resources import RetryPolicy, Route, Service
@@ -112,6 +113,26 @@
             hosts = [Host("silent", answering(b"never")), Host("live", live)]
             self.run_rig(hosts, body, silent=port)
 
+    def test_a_call_at_a_start_that_is_over_ends_as_unknown_at_once(self) -> None:
+        """The connection of the old process stays silent, and the caller's deadline is 2 s away."""
+        host = Host("one", answering(b"never", after=60.0))
+
+        async def body(rig: Rig, run: Run) -> None:
+            (target,) = host.targets.all
+
+            def start_again() -> None:
+                again = attrs.evolve(target.announcement, born=2_000_000)
+                self.assertIs(host.targets.announce(again), Heard.TAKEN)
+
+            rig.timers.call_at(rig.timers.now() + 0.2, start_again)
+            started = rig.timers.now()
+            self.assertIsInstance(await run(ONCE, False), OutcomeUnknown)
+            self.assertLess(rig.timers.now() - started, 1.0)
+            (newer,) = host.targets.all
+            self.assertEqual((newer.gate.running, target.gate.running), (0, 0))
+
+        self.run_rig([host], body)
+
     def test_call_that_no_daemon_took_has_not_run(self) -> None:
         async def body(_rig: Rig, run: Run) -> None:
             self.assertIsInstance(await run(ONCE, False), NotRun)
