--- a/packages/hosted/src/acaciayard_hosted/_logs.py
+++ b/packages/hosted/src/acaciayard_hosted/_logs.py
@@ -27,7 +27,8 @@
 
     Lines beyond a number a second, and those for which a slow reader leaves no room, are dropped
     and counted; the count is written with the next line that fits.  `admit` is asked before a line
-    is rendered, since most lines of a crowded second are dropped: one takes 11 us then, and 56 rendered.
+    is rendered: one that is dropped takes 11 us of processor time then, and 56 when rendered, and
+    in a crowded second most are dropped.
     """
 
     def __init__(self, descriptor: int, *, timers: TimerService) -> None:
