Logs say that a target ended, at which calls, and what these ask for

A line names one attempt, and nothing said that a target had ended. Change: a connection that a target breaks off has the daemon beside it look whether the target still listens (one connection, shared by all calls that it broke off); `event=target what=ended` lists the calls at work with their fingerprints, `call_ended` carries the fingerprint where a try was lost; counter acaciayard_targets_ended. No decision changes.

--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -24,6 +24,7 @@
 from ._call import LARGEST_WHOLE_BODY, Answer, Call, CallWatch, NotRun, OutcomeUnknown
 from ._claimer import Claimed, Claimer, Taken
 from ._events import CallEnded
+from ._fingerprints import fingerprint_of
 from ._intake import (
     EntryContext,
     RejectedError,
@@ -265,6 +266,8 @@
             outcome = await self._context.dispatcher.run(
                 call, plan, router, watch, may_retry=may_retry
             )
+            if any(each.is_unknown for each in watch.tries):
+                self._ended.fingerprint = fingerprint_of(call, self._context.dialect).hex()
             if watch.is_given_up and not isinstance(outcome, Answered):
                 self._note("caller_gone", 0, outcome.reason)
                 return False
--- a/packages/calls/src/acaciayard_calls/_events.py
+++ b/packages/calls/src/acaciayard_calls/_events.py
@@ -20,6 +20,11 @@
     #: Milliseconds that it took.
     ms: float
 
+    @property
+    def is_unknown(self) -> bool:
+        """Whether nobody can tell whether the call has run there."""
+        return self.outcome.startswith("unknown")
+
 
 @define
 class CallEnded:
@@ -51,6 +56,9 @@
     is_by_target: bool = False
     #: Milliseconds for which its caller has been asking already, 0 for a first call; an estimate.
     age_ms: float = 0.0
+    #: What it asks for, in hexadecimal digits, the same each time that it comes; told where a try
+    #: was lost, empty elsewhere.
+    fingerprint: str = ""
     #: Hosts that it was offered to, in order.
     tries: list[Try] = field(factory=list)
 
--- a/packages/calls/src/acaciayard_calls/_local.py
+++ b/packages/calls/src/acaciayard_calls/_local.py
@@ -37,7 +37,7 @@
 )
 from ._dialect import OWN_DIALECT, Dialect
 from ._header_fields import end_to_end
-from ._target import LocalTarget, TargetConnection
+from ._target import CallAtWork, LocalTarget, TargetConnection
 from ._target_answers import fault_in, may_reuse, refused_by_target
 from ._targets import LocalTargets
 
@@ -77,6 +77,7 @@
         self._slot: SlotHeld | None = None
         self._reservation: Reservation | None = None
         self._connection: TargetConnection | None = None
+        self._at_work: CallAtWork | None = None
         self._waiting: anyio.CancelScope | None = None
         self._is_aborted = False
         self._sent = False
@@ -219,6 +220,8 @@
         )
         self._sent = True
         self._targets.note_running(call)
+        if self._target is not None:
+            self._at_work = self._target.begin(call)
         with contextlib.suppress(StreamLostError):  # the answer will not come: that says it
             self._connection.stream.send_nowait(data + call.body if call.body else data)
 
@@ -250,8 +253,19 @@
                 else:
                     return await self._outcome_of(head)
             return OutcomeUnknown("the target answered other requests than this one")
-        except (StreamLostError, HttpError) as error:
+        except HttpError as error:
+            return OutcomeUnknown(f"the target gave no whole answer: {error}")
+        except StreamLostError as error:
+            return await self._broken_off(error)
+
+    async def _broken_off(self, error: StreamLostError) -> OutcomeUnknown:
+        """What is told of a call whose connection the target has broken off."""
+        if self._is_aborted or self._target is None:
+            return OutcomeUnknown(f"the target gave no whole answer: {error}")
+        if not await self._target.has_ended():
             return OutcomeUnknown(f"the target gave no whole answer: {error}")
+        self._targets.note_ended_target(self._target)
+        return OutcomeUnknown("the target ended while it ran the call")
 
     def _is_stray(self, head: ResponseHead) -> bool:
         """Whether this is a late or second answer to an earlier request on the connection."""
@@ -336,6 +350,8 @@
                 self._target.give_back(connection)
             else:
                 self._target.discard(connection)
+        if self._at_work is not None and self._target is not None:
+            self._target.finish(self._at_work)
         if self._slot is not None:
             self._slot.release(is_good=self._is_good)
             self._targets.note_ended(self._call)
--- a/packages/calls/src/acaciayard_calls/_target.py
+++ b/packages/calls/src/acaciayard_calls/_target.py
@@ -5,18 +5,28 @@
 import math
 from typing import Final
 
-from attrs import define, frozen
+import anyio
+from attrs import define, field, frozen
 
 from acaciayard_http1 import Limits, ResponseReader
 from acaciayard_membership import TargetState
 from acaciayard_resources import Service
 from acaciayard_timers import TimerService
-from acaciayard_wire import Address, ByteStream, Purpose, Traffic, connect
+from acaciayard_wire import (
+    Address,
+    ByteStream,
+    NobodyListensError,
+    Purpose,
+    StreamLostError,
+    Traffic,
+    connect,
+)
 
 from ._admission import Gate, GatePolicy
+from ._call import Call
 from ._starts import Start
 
-__all__ = ["DEFAULT_QUEUE", "Announcement", "LocalTarget", "TargetConnection"]
+__all__ = ["DEFAULT_QUEUE", "Announcement", "CallAtWork", "LocalTarget", "TargetConnection"]
 
 #: Slots of a target that has just started, as a divisor.
 _STARTING_DIVISOR: Final = 3
@@ -25,6 +35,8 @@
 _IDLE_FOR: Final = 4.0
 #: Idle connections kept to a target.
 _IDLE_CONNECTIONS: Final = 32
+#: Seconds for finding out whether a target that broke a connection off still listens.
+_LOOK_WITHIN: Final = 0.25
 #: Calls that may wait where no configuration says how many.
 DEFAULT_QUEUE: Final = Service(name="default").queue_length
 #: Limits for what targets answer; generous, since targets are the operators' own.
@@ -72,6 +84,22 @@
     idle_since: float = 0.0
 
 
+@define(eq=False)
+class CallAtWork:
+    """A call that the target has begun to run."""
+
+    #: The call.
+    call: Call
+
+
+@define(eq=False)
+class _Look:
+    """A look whether the target still listens, which all calls that it broke off wait for."""
+
+    done: anyio.Event = field(factory=anyio.Event)
+    has_ended: bool = False
+
+
 class LocalTarget:
     """One target with its gate and its connections."""
 
@@ -91,8 +119,12 @@
         )
         self._idle: list[TargetConnection] = []
         self._in_use: set[TargetConnection] = set()
+        self._at_work: set[CallAtWork] = set()
+        self._look: _Look | None = None
         self._is_over = False
         self.lease_until = 0.0
+        #: Whether the end of its process has been told.
+        self.has_ended_noted = False
 
     @property
     def announcement(self) -> Announcement:
@@ -104,6 +136,49 @@
         """Its slots and queue."""
         return self._gate
 
+    @property
+    def at_work(self) -> tuple[Call, ...]:
+        """Calls that were sent to it and have not ended."""
+        return tuple(each.call for each in self._at_work)
+
+    def begin(self, call: Call) -> CallAtWork:
+        """A call is sent to it; `finish` must follow."""
+        begun = CallAtWork(call)
+        self._at_work.add(begun)
+        return begun
+
+    def finish(self, begun: CallAtWork) -> None:
+        """The call has ended, or its connection is given up."""
+        self._at_work.discard(begun)
+
+    async def has_ended(self) -> bool:
+        """Whether nobody listens at its address any more.
+
+        Asked when it has broken off a connection: a target whose process has ended breaks off all
+        of them, one that cuts an answer short goes on listening.
+        """
+        look = self._look
+        if look is None:
+            look = self._look = _Look()
+            try:
+                look.has_ended = await self._is_nobody_there()
+            finally:
+                self._look = None
+                look.done.set()
+        else:
+            await look.done.wait()
+        return look.has_ended
+
+    async def _is_nobody_there(self) -> bool:
+        with self._timers.timeout(_LOOK_WITHIN):
+            try:
+                self.discard(await self.new_connection())
+            except NobodyListensError:
+                return True
+            except StreamLostError:
+                return False  # no sign that the target is gone: this daemon may be short of sockets
+        return False
+
     def renew(self, announcement: Announcement, queue_length: int) -> None:
         """Take a newer announcement."""
         if announcement.address != self._announcement.address:
--- a/packages/calls/src/acaciayard_calls/_targets.py
+++ b/packages/calls/src/acaciayard_calls/_targets.py
@@ -15,6 +15,8 @@
 
 from ._admission import GatePolicy
 from ._call import Call
+from ._dialect import OWN_DIALECT, Dialect
+from ._fingerprints import fingerprint_of
 from ._starts import Start, StartRecords
 from ._target import DEFAULT_QUEUE, Announcement, LocalTarget
 
@@ -47,6 +49,16 @@
     UNKNOWN_SERVICE = "unknown service"
 
 
+@frozen
+class CallTold:
+    """A call as logs name it."""
+
+    #: Identity of the attempt.
+    request_id: str
+    #: What it asks for, in hexadecimal digits; the same each time that the request comes.
+    fingerprint: str
+
+
 @frozen
 class TargetNews:
     """What changes the belief of this daemon in a target, for logs."""
@@ -55,12 +67,14 @@
     name: str
     #: When that start began, in Unix milliseconds; 0 where it is not told.
     born: int
-    #: What has happened: `announced`, `leaving`, `withdrawn` or `passed_over`.
+    #: What has happened: `announced`, `leaving`, `withdrawn`, `passed_over` or `ended`.
     what: str
     #: Why; empty where that is plain.
     reason: str = ""
     #: Count of the announcement that decided it.
     sequence: int = 0
+    #: Calls that it ran when it ended.
+    at_work: tuple[CallTold, ...] = ()
 
 
 class LocalTargets:
@@ -80,10 +94,13 @@
         publish: Callable[[tuple[TargetInfo, ...]], None],
         lease: float = LEASE,
         policy: GatePolicy = GatePolicy(),  # noqa: B008 - frozen
+        dialect: Dialect = OWN_DIALECT,
         is_settled: bool = True,
         tell: Callable[[TargetNews], None] = lambda _news: None,
     ) -> None:
         self._tell = tell
+        self._dialect = dialect
+        self._ended = 0
         self._is_settled = is_settled
         self._lease = lease
         self._policy = policy
@@ -103,6 +120,11 @@
         """Targets that count as running."""
         return tuple(self._targets.values())
 
+    @property
+    def ended(self) -> int:
+        """Targets whose process has ended while it ran calls, so far."""
+        return self._ended
+
     def announce(self, announcement: Announcement) -> Heard:
         """Take an announcement; a new target is published to the other daemons.
 
@@ -183,6 +205,20 @@
         """The call runs no more."""
         self._running.pop(call.request_id, None)
 
+    def note_ended_target(self, target: LocalTarget) -> None:
+        """The process of a target has ended; told once, with the calls that it ran."""
+        at_work = target.at_work
+        if not at_work or target.has_ended_noted:
+            return
+        target.has_ended_noted = True
+        self._ended += 1
+        start = target.announcement.start
+        told = tuple(
+            CallTold(call.request_id.decode("latin-1"), fingerprint_of(call, self._dialect).hex())
+            for call in at_work
+        )
+        self._tell(TargetNews(start.name, start.born, "ended", at_work=told))
+
     def parent_of(self, request_id: bytes) -> Call | None:
         """The call running here that has made the one with this identity, `None` for none.
 
--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -138,6 +138,7 @@
             what=news.what,
             reason=news.reason or None,
             sequence=news.sequence or None,
+            at_work="; ".join(f"{c.request_id} {c.fingerprint}" for c in news.at_work) or None,
         )
 
     def _log_member(self, before: Member | None, now: Member) -> None:
@@ -166,6 +167,7 @@
             publish=self._publish,
             lease=settings.announce_every * _ANNOUNCEMENTS_MISSED,
             policy=_GATE_POLICY,
+            dialect=self._platform.dialect,
             is_settled=False,
             tell=self._log_target,
         )
@@ -328,6 +330,7 @@
                 "Seconds for which slots of the targets here were held",
                 lambda: sum(t.gate.busy_seconds for t in targets.all),
             ),
+            Gauge("targets_ended", "Targets that ended at work so far", lambda: targets.ended),
             Gauge("rejected", "Bad configurations so far", lambda: self._versions.rejected),
             Gauge("lines_dropped", "Log lines dropped so far", lambda: self._lines.dropped),
             Gauge("faults", "Connections ended by a fault", lambda: self._calls_log.faults),
--- a/packages/hosted/src/acaciayard_hosted/_call_log.py
+++ b/packages/hosted/src/acaciayard_hosted/_call_log.py
@@ -104,6 +104,7 @@
             retry_after_s=round(ended.retry_after, 3) if ended.retry_after >= 0 else None,
             ms=ended.ms,
             age_ms=ended.age_ms or None,
+            fingerprint=ended.fingerprint or None,
             tries=_told(ended.tries) or None,
         )
 
--- a/packages/wire/src/acaciayard_wire/_stream.py
+++ b/packages/wire/src/acaciayard_wire/_stream.py
@@ -26,6 +26,10 @@
     """The connection is gone, or the other end stopped in the middle of something."""
 
 
+class NobodyListensError(StreamLostError):
+    """The other host answers, and no process has the port."""
+
+
 class ByteStream(asyncio.Protocol):
     """One connection, read and written by one task at a time each."""
 
@@ -214,12 +218,14 @@
 
 
 async def connect(address: str, port: int, *, traffic: Traffic, purpose: Purpose) -> ByteStream:
-    """Open a connection; raises `StreamLostError` when nobody listens there."""
+    """Open a connection; raises `NobodyListensError`, or `StreamLostError` for any other reason."""
     loop = asyncio.get_running_loop()
     try:
         _, stream = await loop.create_connection(
             lambda: ByteStream(traffic=traffic, purpose=purpose), address, port
         )
+    except ConnectionRefusedError as error:
+        raise NobodyListensError(f"cannot connect to {address}:{port}: {error}") from error
     except OSError as error:
         raise StreamLostError(f"cannot connect to {address}:{port}: {error}") from error
     return stream
