A request that ends the targets that run it is tried alone, and barred after three

Cause: a fault that travels with the work was blamed on hosts alone; another host and a second try then bring it to the next sound target, and no daemon remembered a request beyond one attempt. Change: calls at work when a target ends become suspects, by what they ask for; a suspect runs only as a trial, at the one host that all daemons choose for it and with no other suspect beside it; a good answer clears it; three ends in a row bar it. It travels with the members' records. Ruled out: retry limits alone (each return is a new call); barring at once (up to six calls are at work at an end); weights by the number of calls at work (trials alone make the third end certain).

--- a/packages/api/src/acaciayard_api/_app.py
+++ b/packages/api/src/acaciayard_api/_app.py
@@ -15,7 +15,7 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route as UrlRoute
 
-from acaciayard_calls import ANNOUNCE_EVERY, LEASE, LocalTargets, ServiceLevels
+from acaciayard_calls import ANNOUNCE_EVERY, LEASE, LocalTargets, ServiceLevels, Suspects
 from acaciayard_membership import Member, MemberTable
 from acaciayard_resources import (
     KINDS,
@@ -44,6 +44,7 @@
     outcome_view,
     progress_view,
     stored_view,
+    suspect_view,
 )
 
 __all__ = ["ApiContext", "api_application"]
@@ -67,6 +68,8 @@
     changes: ChangeService
     #: Targets on this host.
     targets: LocalTargets
+    #: Requests that are suspected of ending targets.
+    suspects: Suspects
     #: Service levels of calls that came in here.
     levels: ServiceLevels
     #: Time.
@@ -266,6 +269,22 @@
     async def openapi(self, _request: Request) -> Response:
         return JSONResponse(openapi_document())
 
+    # --- suspects -----------------------------------------------------------------------------
+
+    async def list_suspects(self, _request: Request) -> Response:
+        suspects = self._context.suspects
+        return JSONResponse([suspect_view(s, suspects.is_barred(s)) for s in suspects.all()])
+
+    async def lift_suspect(self, request: Request) -> Response:
+        text = request.path_params["fingerprint"]
+        try:
+            is_lifted = self._context.suspects.lift(bytes.fromhex(text))
+        except ValueError:
+            return _error(400, f"{text!r} is no fingerprint: 16 hexadecimal digits")
+        if not is_lifted:
+            return _error(404, f"nothing is held against a request with fingerprint {text}")
+        return JSONResponse({"lifted": text})
+
     # --- targets ------------------------------------------------------------------------------
 
     async def announce(self, request: Request) -> Response:
@@ -323,6 +342,8 @@
             UrlRoute("/v1/status", api.status),
             UrlRoute("/v1/report", api.report),
             UrlRoute("/v1/openapi.json", api.openapi),
+            UrlRoute("/v1/suspects", api.list_suspects),
+            UrlRoute("/v1/suspects/{fingerprint}", api.lift_suspect, methods=["DELETE"]),
             UrlRoute("/v1/targets", api.announce, methods=["POST"]),
             UrlRoute("/v1/targets/{name}", api.withdraw, methods=["DELETE"]),
         ],
--- a/packages/api/src/acaciayard_api/_views.py
+++ b/packages/api/src/acaciayard_api/_views.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from acaciayard_calls import LevelReport
-from acaciayard_membership import Member, MemberState, TargetState
+from acaciayard_membership import Member, MemberState, Suspicion, TargetState
 from acaciayard_resources import Finding, Outcome, Stored, spec_of
 from acaciayard_spread import AcceptedChange
 
@@ -20,6 +20,7 @@
     "outcome_view",
     "progress_view",
     "stored_view",
+    "suspect_view",
 ]
 
 
@@ -106,3 +107,12 @@
         "windows": {str(window): list(counts) for window, counts in report.windows.items()},
         "histogram": report.histogram,
     }
+
+
+def suspect_view(suspicion: Suspicion, is_barred: bool) -> dict[str, Any]:
+    """A request that is suspected of ending the targets that run it."""
+    return {
+        "fingerprint": suspicion.fingerprint.hex(),
+        "ends": suspicion.ends,
+        "barred": is_barred,
+    }
--- a/packages/calls/src/acaciayard_calls/__init__.py
+++ b/packages/calls/src/acaciayard_calls/__init__.py
@@ -20,12 +20,14 @@
 from ._remote import RemoteExchange
 from ._router import Plan, Router
 from ._server import CallServer
+from ._suspects import ENDS_TO_BAR, SuspectNews, Suspects
 from ._target import Announcement, LocalTarget
-from ._targets import ANNOUNCE_EVERY, LEASE, Heard, LocalTargets, TargetNews
+from ._targets import ANNOUNCE_EVERY, LEASE, CallTold, Heard, LocalTargets, TargetNews
 
 __all__ = [
     "ANNOUNCE_EVERY",
     "CLAIM_MESSAGES",
+    "ENDS_TO_BAR",
     "LEASE",
     "NO_EVENTS",
     "OWN_DIALECT",
@@ -40,6 +42,7 @@
     "CallEvents",
     "CallParts",
     "CallServer",
+    "CallTold",
     "CallWatch",
     "CallerLimiter",
     "Candidate",
@@ -76,6 +79,8 @@
     "SharedRetryBudgets",
     "SlotHeld",
     "StreamPool",
+    "SuspectNews",
+    "Suspects",
     "Taken",
     "TargetNews",
     "Try",
--- a/packages/calls/src/acaciayard_calls/_attempt.py
+++ b/packages/calls/src/acaciayard_calls/_attempt.py
@@ -19,6 +19,7 @@
 from ._picker import Picker
 from ._pool import StreamPool
 from ._remote import RemoteExchange
+from ._suspects import Suspects
 from ._targets import LocalTargets
 
 __all__ = ["Answered", "Attempt", "CallParts"]
@@ -94,6 +95,8 @@
     invariants: Invariants
     #: Names of header fields.
     dialect: Dialect
+    #: Requests that are suspected of ending targets.
+    suspects: Suspects
     #: How many tries beyond the first are allowed.
     budgets: RetryBudgets
     #: Where second tries beside a slow first one run.
--- a/packages/calls/src/acaciayard_calls/_call.py
+++ b/packages/calls/src/acaciayard_calls/_call.py
@@ -114,6 +114,8 @@
     reason: str
     #: Whether the host gave no sign of life at all.
     is_silent: bool = False
+    #: Whether the target ended, and perhaps under this call.
+    is_blamed: bool = False
 
 
 class CallWatch:
--- a/packages/calls/src/acaciayard_calls/_call_run.py
+++ b/packages/calls/src/acaciayard_calls/_call_run.py
@@ -7,6 +7,7 @@
 import anyio
 from attrs import define, evolve
 
+from acaciayard_membership import Suspicion
 from acaciayard_resources import Invariant
 
 from ._attempt import Answered, Attempt, CallParts
@@ -85,6 +86,8 @@
         self._router = router
         self._watch = watch
         self._attempts = attempts
+        self._suspects = parts.suspects
+        self._suspicion: Suspicion | None = None
         self._tried = 0
         self._offers = Offers(
             parts.picker,
@@ -120,7 +123,11 @@
     async def _run(self) -> Answered | NotRun | OutcomeUnknown:
         last: Answered | NotRun | OutcomeUnknown = no_target(self._plan)
         while True:
-            offer = self._offers.next()
+            self._suspicion = self._suspects.of(self._call)
+            if self._suspicion is not None and self._suspects.is_barred(self._suspicion):
+                refusal = self._suspects.refusal(self._suspicion)
+                return refusal if isinstance(last, NotRun) else last
+            offer = self._next_offer()
             if offer is None:
                 return last
             attempt = self._parts.attempt(self._offered(offer), offer.candidate)
@@ -136,7 +143,7 @@
                     attempt.exchange.close()
                     last = outcome if isinstance(last, NotRun) else last
                     self._offers.note_refused(offer, outcome)
-                    if not self._may_offer_again(outcome):
+                    if self._suspicion is not None or not self._may_offer_again(outcome):
                         return last
                     continue
                 case OutcomeUnknown():
@@ -150,6 +157,17 @@
             attempt.exchange.close()
             self._offers.leave_out(offer.candidate.host)
 
+    def _next_offer(self) -> Offer | None:
+        """The next host; a call under suspicion goes to that of its trial and to no other."""
+        if self._suspicion is None:
+            return self._offers.next()
+        key = self._suspicion.fingerprint
+        avoid = self._offers.failed
+        candidate = self._parts.picker.pick_for_trial(
+            self._plan, self._router, key=key, avoid=avoid
+        )
+        return None if candidate is None else Offer(candidate, may_wait=True)
+
     def _is_final(self, answer: Answer) -> bool:
         return self._tried + 1 >= self._attempts or answer.status not in _RETRIED_STATUSES
 
@@ -183,6 +201,7 @@
                 wake.cancel()
 
     async def _finish(self, attempt: Attempt) -> Answer | NotRun | OutcomeUnknown:
+        known = self._suspects.of(self._call)
         expiry = self._timers.call_at(
             self._call.deadline, lambda: attempt.cut("no answer before the deadline")
         )
@@ -195,10 +214,13 @@
         finally:
             expiry.cancel()
         if attempt.cut_because and isinstance(outcome, OutcomeUnknown):
-            outcome = OutcomeUnknown(attempt.cut_because, is_silent=attempt.is_silent)
+            outcome = evolve(outcome, reason=attempt.cut_because, is_silent=attempt.is_silent)
         attempt.end(outcome)
         if isinstance(outcome, NotRun) and not outcome.is_by_target:
             self._check_not_run(attempt)
+        if isinstance(outcome, OutcomeUnknown) and outcome.is_blamed:
+            # What the target's daemon tells all comes some milliseconds later.
+            self._suspects.note_end(self._call, known, is_own=False)
         ms = round((self._timers.now() - attempt.started) * 1000, 1)
         self._watch.tries.append(Try(attempt.candidate.host, _told(outcome), ms))
         return outcome
@@ -234,7 +256,8 @@
     # --- a second try beside a slow first one -------------------------------------------------
 
     def _may_hedge(self) -> bool:
-        return self._hedge is None and self._tried + 1 < self._attempts
+        is_sole = self._hedge is None and self._suspicion is None
+        return is_sole and self._tried + 1 < self._attempts
 
     def _on_no_sign(self) -> None:
         """The host should have said by now that the call has come.
--- a/packages/calls/src/acaciayard_calls/_dispatcher.py
+++ b/packages/calls/src/acaciayard_calls/_dispatcher.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from acaciayard_membership import Suspicion
+
 from ._attempt import Answered, Attempt, CallParts
 from ._call import Call, CallWatch, NotRun, OutcomeUnknown
 from ._call_run import CallRun, no_target
+from ._candidates import Candidate
 from ._offers import MOST_OFFERS
 from ._router import Plan, Router
 
@@ -49,8 +52,12 @@
         """Find a host that admits a call whose body is still to come."""
         refused: set[str] = set()
         last = no_target(plan)
+        suspects = self._parts.suspects
         while True:
-            candidate = self._parts.picker.pick(plan, router, avoid=refused)
+            suspicion = suspects.of(call)
+            if suspicion is not None and suspects.is_barred(suspicion):
+                return suspects.refusal(suspicion)
+            candidate = self._candidate(suspicion, plan, router, refused)
             if candidate is None:
                 return last
             attempt = self._parts.attempt(call, candidate)
@@ -63,9 +70,17 @@
                 return refusal
             last = refusal
             refused.add(candidate.host)
-            if len(refused) >= MOST_OFFERS:
+            if suspicion is not None or len(refused) >= MOST_OFFERS:
                 return last
 
+    def _candidate(
+        self, suspicion: Suspicion | None, plan: Plan, router: Router, refused: set[str]
+    ) -> Candidate | None:
+        picker = self._parts.picker
+        if suspicion is None:
+            return picker.pick(plan, router, avoid=refused)
+        return picker.pick_for_trial(plan, router, key=suspicion.fingerprint, avoid=refused)
+
     async def _await_admission(
         self, attempt: Attempt, call: Call
     ) -> NotRun | OutcomeUnknown | None:
--- a/packages/calls/src/acaciayard_calls/_local.py
+++ b/packages/calls/src/acaciayard_calls/_local.py
@@ -22,8 +22,9 @@
     render_fields,
     request_bytes,
 )
+from acaciayard_membership import Suspicion
 from acaciayard_timers import TimerService
-from acaciayard_wire import StreamLostError
+from acaciayard_wire import NobodyListensError, StreamLostError
 
 from ._admission import Reservation, SlotHeld
 from ._call import (
@@ -123,10 +124,7 @@
 
         Nothing has reached the target when a refusal is returned.
         """
-        refusal = await self.enter()
-        if refusal is None:
-            self.send_head()
-        return refusal
+        return await self.enter() or self.send_head()
 
     async def enter(self) -> NotRun | None:
         """Get a slot and a connection, and send nothing yet; the refusal where that fails."""
@@ -183,6 +181,8 @@
                     self._connection = await target.new_connection()
                     return None
             except StreamLostError as error:
+                if isinstance(error, NobodyListensError):
+                    self._targets.note_ended_target(target)
                 return NotRun(f"the target is not there: {error}", _ABSENT_RETRY_AFTER)
             finally:
                 self._waiting = None
@@ -202,9 +202,27 @@
                 self._waiting = None
         return _GIVEN_UP
 
-    def send_head(self) -> None:
-        """Send the head, with the body where it is whole."""
+    def _suspicion(self) -> Suspicion | NotRun | None:
+        """What is held against the call; the refusal where it must not run now.
+
+        This daemon alone sends calls to the target, so what it refuses here is refused whatever
+        the daemon that asks has heard yet.
+        """
+        suspects = self._targets.suspects
+        suspicion = suspects.of(self._call)
+        if suspicion is None:
+            return None
+        if suspects.is_barred(suspicion):
+            return suspects.refusal(suspicion)
+        is_beside_another = self._target is not None and self._target.has_trial
+        return suspects.busy() if is_beside_another else suspicion
+
+    def send_head(self) -> NotRun | None:
+        """Send the head, with the body where it is whole; the refusal where it must not run."""
         assert self._connection is not None
+        suspicion = self._suspicion()
+        if isinstance(suspicion, NotRun):
+            return suspicion
         call = self._call
         dialect = self._dialect
         remaining = max(0, round((call.deadline - self._timers.now()) * 1000))
@@ -221,9 +239,10 @@
         self._sent = True
         self._targets.note_running(call)
         if self._target is not None:
-            self._at_work = self._target.begin(call)
+            self._at_work = self._target.begin(call, suspicion)
         with contextlib.suppress(StreamLostError):  # the answer will not come: that says it
             self._connection.stream.send_nowait(data + call.body if call.body else data)
+        return None
 
     async def wait_admitted(self) -> NotRun | None:
         return None  # `start` returns only then
@@ -265,7 +284,8 @@
         if not await self._target.has_ended():
             return OutcomeUnknown(f"the target gave no whole answer: {error}")
         self._targets.note_ended_target(self._target)
-        return OutcomeUnknown("the target ended while it ran the call")
+        is_blamed = self._at_work in self._target.blamed
+        return OutcomeUnknown("the target ended while it ran the call", is_blamed=is_blamed)
 
     def _is_stray(self, head: ResponseHead) -> bool:
         """Whether this is a late or second answer to an earlier request on the connection."""
@@ -286,6 +306,7 @@
             await self._read_whole()
             assert self._target is not None
             return refused_by_target(head.status, self._target.gate)
+        self._targets.suspects.note_good(self._call)
         fault = fault_in(head, self._call, self._dialect)
         return OutcomeUnknown(fault) if fault else await self._answer_of(head)
 
@@ -327,6 +348,9 @@
             part = await self._open().reader.next_part()
         except HttpError as error:
             raise StreamLostError(f"the target's answer makes no sense: {error}") from error
+        except StreamLostError as error:
+            await self._broken_off(error)
+            raise
         if isinstance(part, End):
             self._release(reuse=self._reusable and self._body_sent)
         return part
--- a/packages/calls/src/acaciayard_calls/_messages.py
+++ b/packages/calls/src/acaciayard_calls/_messages.py
@@ -168,6 +168,8 @@
 
     #: What happened.
     reason: str
+    #: Whether the target ended, and perhaps under this call.
+    is_blamed: bool = False
 
 
 CALL_CODEC: Final = MessageCodec(
--- a/packages/calls/src/acaciayard_calls/_offers.py
+++ b/packages/calls/src/acaciayard_calls/_offers.py
@@ -66,6 +66,11 @@
         """Hosts that a further try must not go to."""
         return self._out | self._full
 
+    @property
+    def failed(self) -> set[str]:
+        """Hosts at which a try has failed or that have refused for another reason than load."""
+        return self._out
+
     def next(self) -> Offer | None:
         """The next one, `None` where there is none."""
         if self._made >= self._most:
--- a/packages/calls/src/acaciayard_calls/_picker.py
+++ b/packages/calls/src/acaciayard_calls/_picker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import random
 from collections.abc import Collection, Sequence
 from typing import Final
@@ -196,6 +197,26 @@
         usual = _usual_pace(pool)
         return min(some, key=lambda c: _score(c, now, warm_up, usual))
 
+    def pick_for_trial(
+        self, plan: Plan, router: Router, *, key: bytes, avoid: Collection[str]
+    ) -> Candidate | None:
+        """The host on which a suspect has its trial, `None` when there is none.
+
+        All daemons that know the same hosts choose the same one for a key, whatever each has learnt
+        of them, so that copies of a suspect meet at one gate.
+        """
+        candidates = self._services.get(plan.service.name)
+        if candidates is None:
+            return None
+        usable = [
+            c
+            for c in candidates.all
+            if c.state < TargetState.DRAINING
+            and not router.is_drained(c.host, plan.service.name)
+            and c.host not in avoid
+        ]
+        return min(usable, key=lambda c: _trial_rank(c, key)) if usable else None
+
     # --- outcomes -----------------------------------------------------------------------------
 
     def begin(self, candidate: Candidate) -> None:
@@ -263,6 +284,10 @@
             candidate.failure_share = TOLERATED  # it gets calls again after its ejection
 
 
+def _trial_rank(candidate: Candidate, key: bytes) -> bytes:
+    return hashlib.blake2b(candidate.host.encode(), key=key, digest_size=8).digest()
+
+
 def _offered_by(member: Member) -> dict[str, list[TargetInfo]]:
     """The targets of a host by their service; none where the host is gone."""
     offered: dict[str, list[TargetInfo]] = {}
--- a/packages/calls/src/acaciayard_calls/_remote.py
+++ b/packages/calls/src/acaciayard_calls/_remote.py
@@ -218,9 +218,9 @@
                     return self._answer_of(head)
                 case Refused() as refused:
                     return self._refusal_of(refused)
-                case Lost(reason):
+                case Lost(reason, is_blamed):
                     self._release(reuse=self._body_sent)
-                    return OutcomeUnknown(reason)
+                    return OutcomeUnknown(reason, is_blamed=is_blamed)
                 case other:
                     return OutcomeUnknown(f"the other daemon said {type(other).__name__}")
         except (StreamLostError, MessageError) as error:
--- a/packages/calls/src/acaciayard_calls/_server.py
+++ b/packages/calls/src/acaciayard_calls/_server.py
@@ -223,7 +223,10 @@
         if refusal is not None:
             await self._refuse(refusal, exchange, messages)
             return
-        exchange.send_head()
+        refusal = exchange.send_head()
+        if refusal is not None:
+            await self._refuse(refusal, exchange, messages)
+            return
         await self._answer(exchange, messages, expiry)
 
     async def _ask_for_body(self, exchange: LocalExchange, messages: MessageStream) -> bytes:
@@ -308,9 +311,9 @@
         match answer:
             case NotRun():
                 await self._refuse(answer, exchange, messages)
-            case OutcomeUnknown(reason):
+            case OutcomeUnknown(reason, is_blamed=is_blamed):
                 self._tell(exchange, "unknown", reason)
-                await messages.send(Lost(reason))
+                await messages.send(Lost(reason, is_blamed))
             case Answer():
                 self._tell(exchange, "answered", "")
                 await messages.send(_head_of(answer, exchange))
--- a/packages/calls/src/acaciayard_calls/_target.py
+++ b/packages/calls/src/acaciayard_calls/_target.py
@@ -9,7 +9,7 @@
 from attrs import define, field, frozen
 
 from acaciayard_http1 import Limits, ResponseReader
-from acaciayard_membership import TargetState
+from acaciayard_membership import Suspicion, TargetState
 from acaciayard_resources import Service
 from acaciayard_timers import TimerService
 from acaciayard_wire import (
@@ -90,6 +90,8 @@
 
     #: The call.
     call: Call
+    #: What was held against it when it was sent; `None` for nothing.
+    suspicion: Suspicion | None = None
 
 
 @define(eq=False)
@@ -121,10 +123,10 @@
         self._in_use: set[TargetConnection] = set()
         self._at_work: set[CallAtWork] = set()
         self._look: _Look | None = None
+        self._is_ended = False
+        self._blamed: frozenset[CallAtWork] = frozenset()
         self._is_over = False
         self.lease_until = 0.0
-        #: Whether the end of its process has been told.
-        self.has_ended_noted = False
 
     @property
     def announcement(self) -> Announcement:
@@ -137,13 +139,36 @@
         return self._gate
 
     @property
-    def at_work(self) -> tuple[Call, ...]:
+    def at_work(self) -> tuple[CallAtWork, ...]:
         """Calls that were sent to it and have not ended."""
-        return tuple(each.call for each in self._at_work)
+        return tuple(self._at_work)
 
-    def begin(self, call: Call) -> CallAtWork:
+    @property
+    def has_trial(self) -> bool:
+        """Whether it runs a call that is under suspicion."""
+        return any(each.suspicion is not None for each in self._at_work)
+
+    @property
+    def blamed(self) -> frozenset[CallAtWork]:
+        """The calls of which one has ended it; none while it lives.
+
+        A call that was under suspicion is the only one of those at work; where there was none, it
+        may have been any of them.
+        """
+        return self._blamed
+
+    def note_ended(self) -> bool:
+        """Its process has ended; false where that is known already."""
+        if self._is_ended:
+            return False
+        self._is_ended = True
+        suspects = {each for each in self._at_work if each.suspicion is not None}
+        self._blamed = frozenset(suspects or self._at_work)
+        return True
+
+    def begin(self, call: Call, suspicion: Suspicion | None) -> CallAtWork:
         """A call is sent to it; `finish` must follow."""
-        begun = CallAtWork(call)
+        begun = CallAtWork(call, suspicion)
         self._at_work.add(begun)
         return begun
 
--- a/packages/calls/src/acaciayard_calls/_targets.py
+++ b/packages/calls/src/acaciayard_calls/_targets.py
@@ -15,10 +15,9 @@
 
 from ._admission import GatePolicy
 from ._call import Call
-from ._dialect import OWN_DIALECT, Dialect
-from ._fingerprints import fingerprint_of
 from ._starts import Start, StartRecords
-from ._target import DEFAULT_QUEUE, Announcement, LocalTarget
+from ._suspects import Suspects
+from ._target import DEFAULT_QUEUE, Announcement, CallAtWork, LocalTarget
 
 __all__ = ["ANNOUNCE_EVERY", "LEASE", "Heard", "LocalTargets", "TargetNews"]
 
@@ -57,6 +56,8 @@
     request_id: str
     #: What it asks for, in hexadecimal digits; the same each time that the request comes.
     fingerprint: str
+    #: Whether it is one of those that may have ended the target.
+    is_blamed: bool
 
 
 @frozen
@@ -94,12 +95,12 @@
         publish: Callable[[tuple[TargetInfo, ...]], None],
         lease: float = LEASE,
         policy: GatePolicy = GatePolicy(),  # noqa: B008 - frozen
-        dialect: Dialect = OWN_DIALECT,
+        suspects: Suspects | None = None,
         is_settled: bool = True,
         tell: Callable[[TargetNews], None] = lambda _news: None,
     ) -> None:
         self._tell = tell
-        self._dialect = dialect
+        self._suspects = suspects or Suspects(timers=timers)
         self._ended = 0
         self._is_settled = is_settled
         self._lease = lease
@@ -120,6 +121,11 @@
         """Targets that count as running."""
         return tuple(self._targets.values())
 
+    @property
+    def suspects(self) -> Suspects:
+        """The requests that are suspected of ending targets."""
+        return self._suspects
+
     @property
     def ended(self) -> int:
         """Targets whose process has ended while it ran calls, so far."""
@@ -206,19 +212,33 @@
         self._running.pop(call.request_id, None)
 
     def note_ended_target(self, target: LocalTarget) -> None:
-        """The process of a target has ended; told once, with the calls that it ran."""
-        at_work = target.at_work
-        if not at_work or target.has_ended_noted:
-            return
-        target.has_ended_noted = True
-        self._ended += 1
+        """The process of a target has ended: nobody listens at its address any more.
+
+        It is forgotten at once.  Until its lease lapsed each call that chose it cost an offer, and
+        calls were refused with four such offers while other hosts had slots free.
+        """
+        if target.note_ended():
+            self._tell_end(target)
+            for begun in target.blamed:
+                self._suspects.note_end(begun.call, begun.suspicion)
+        name = target.announcement.name
+        if self._targets.get(name) is target:
+            self.withdraw(name, "its process has ended")
+
+    def _tell_end(self, target: LocalTarget) -> None:
         start = target.announcement.start
-        told = tuple(
-            CallTold(call.request_id.decode("latin-1"), fingerprint_of(call, self._dialect).hex())
-            for call in at_work
-        )
+        at_work = target.at_work
+        self._ended += bool(at_work)
+        told = tuple(self._told_call(begun, target) for begun in at_work)
         self._tell(TargetNews(start.name, start.born, "ended", at_work=told))
 
+    def _told_call(self, begun: CallAtWork, target: LocalTarget) -> CallTold:
+        return CallTold(
+            request_id=begun.call.request_id.decode("latin-1"),
+            fingerprint=self._suspects.fingerprint_of(begun.call).hex(),
+            is_blamed=begun in target.blamed,
+        )
+
     def parent_of(self, request_id: bytes) -> Call | None:
         """The call running here that has made the one with this identity, `None` for none.
 
@@ -306,6 +326,7 @@
             now = self._timers.now()
             for name in [n for n, t in self._targets.items() if t.lease_until < now]:
                 self.withdraw(name, "the target no longer announces itself")
+            self._suspects.forget_old()
 
     def _on_pause(self, seconds: float) -> None:
         for target in self._targets.values():
--- a/packages/calls/tests/call_rig.py
+++ b/packages/calls/tests/call_rig.py
@@ -174,6 +174,7 @@
                 seed=random.Random(1),
                 invariants=self.invariants,
                 dialect=DIALECT,
+                suspects=entry.targets.suspects,
                 budgets=self.budgets,
                 tasks=tasks,
             )
--- a/packages/calls/tests/load_model.py
+++ b/packages/calls/tests/load_model.py
@@ -41,6 +41,7 @@
     Router,
     SharedRetryBudgets,
     SlotHeld,
+    Suspects,
 )
 from acaciayard_calls._attempt import Attempt
 from acaciayard_calls._first_asked import FirstAsked
@@ -109,6 +110,7 @@
                 seed=self.seed,
                 invariants=Invariants(),
                 dialect=OWN_DIALECT,
+                suspects=Suspects(timers=self.mesh.timers),
                 budgets=budgets,
                 tasks=self.mesh.tasks,
                 mesh=self.mesh,
--- a/packages/cli/src/acaciayard_cli/_client.py
+++ b/packages/cli/src/acaciayard_cli/_client.py
@@ -58,6 +58,10 @@
         """Send something."""
         return self._request("POST", path, json=body)
 
+    def delete(self, path: str) -> ApiAnswer | NoAnswer:
+        """Take something away."""
+        return self._request("DELETE", path)
+
     def _request(self, method: str, path: str, **more: Any) -> ApiAnswer | NoAnswer:
         try:
             answer = self._client.request(method, path, **more)
--- a/packages/cli/src/acaciayard_cli/_explain.py
+++ b/packages/cli/src/acaciayard_cli/_explain.py
@@ -51,7 +51,7 @@
         explain("d29bf6ba21f01eb2", read_lines(file)).cause
         # "refused on sidecar-1 after 6.8 ms, not run: 4 hosts were asked, 4 had no slot in time; …"
     """
-    own = [line for line in lines if _belongs(line["request"], request)]
+    own = [line for line in lines if _belongs(line["request"], request) or _was_in(line, request)]
     own.sort(key=lambda line: line.time)
     ended = [line for line in own if line.event == "call_ended" and line["request"] == request]
     cause = _cause(ended[-1], own) if ended else _no_cause(own)
@@ -62,6 +62,11 @@
     return bool(found) and (found == request or found.startswith(request + _NESTED))
 
 
+def _was_in(line: LogLine, request: str) -> bool:
+    """Whether the line tells of a target that ended while it ran the request."""
+    return request in line["at_work"].split()
+
+
 def _no_cause(own: list[LogLine]) -> str:
     if not own:
         return (
--- a/packages/cli/src/acaciayard_cli/_main.py
+++ b/packages/cli/src/acaciayard_cli/_main.py
@@ -43,6 +43,12 @@
             fail_with(answer)
         return answer.body
 
+    def delete(self, path: str) -> None:
+        """Have the daemon take something away; ends the program when it does not."""
+        answer = self.client.delete(path)
+        if isinstance(answer, NoAnswer) or answer.status != 200:
+            fail_with(answer)
+
 
 @click.group(
     epilog="Exit status: 0 done, 1 rejected, 2 input not valid, 3 daemon or log not available,"
@@ -257,6 +263,23 @@
     print_table(("host", "failure domain", "state", "targets"), rows)
 
 
+@main.command()
+@click.option("--lift", default="", help="Clear the request with this fingerprint.")
+@click.pass_obj
+def suspects(context: _Context, lift: str) -> None:
+    """Show the requests that are suspected of ending targets, or clear one."""
+    if lift:
+        context.delete(f"/v1/suspects/{lift}")
+        click.echo(f"lifted  fingerprint={lift}")
+        return
+    body = context.read("/v1/suspects")
+    if context.as_json:
+        print_json(body)
+        return
+    rows = [(s["fingerprint"], s["ends"], "barred" if s["barred"] else "on trial") for s in body]
+    print_table(("fingerprint", "targets ended", "state"), rows)
+
+
 @main.command()
 @click.pass_obj
 def history(context: _Context) -> None:
--- a/packages/daemon/src/acaciayard_daemon/_build.py
+++ b/packages/daemon/src/acaciayard_daemon/_build.py
@@ -26,6 +26,8 @@
     RetryBudgets,
     ServiceLevels,
     StreamPool,
+    SuspectNews,
+    Suspects,
     call_pool,
 )
 from acaciayard_logservice import HttpLogService, http_log_service
@@ -98,6 +100,7 @@
         self._pause = PauseDetector(self._timers, threshold=_PAUSE_THRESHOLD)
         self._spread: Spread | None = None
         self._members: Membership | None = None
+        self._suspects = Suspects(timers=self._timers, dialect=OWN_DIALECT, tell=self._log_suspect)
 
     # --- hooks between parts ------------------------------------------------------------------
 
@@ -134,6 +137,9 @@
             monotonic=round(time.monotonic(), 6),
         )
 
+    def _log_suspect(self, news: SuspectNews) -> None:
+        self._logger.info("suspect", **news.fields())
+
     def _log_member(self, before: Member | None, now: Member) -> None:
         if before is None or before.state != now.state or before.incarnation != now.incarnation:
             self._logger.info(
@@ -157,6 +163,7 @@
             traffic=self._traffic,
             host=settings.host.name,
             publish=self._publish,
+            suspects=self._suspects,
         )
         call_server = CallServer(
             targets=targets, timers=self._timers, pause=self._pause, traffic=self._traffic
@@ -231,6 +238,7 @@
             ),
         )
         self._members.table.subscribe(self._log_member)
+        self._suspects.share(self._members)
         return self._members
 
     def _spreading(self, members: Membership, log: HttpLogService, port: ControlPort) -> Spread:
@@ -272,6 +280,7 @@
                 seed=self._seed,
                 invariants=self._invariants,
                 dialect=OWN_DIALECT,
+                suspects=self._suspects,
                 budgets=RetryBudgets(),
                 tasks=self._tasks,
             )
@@ -310,6 +319,7 @@
                 spread=sources.spread,
                 changes=changes,
                 targets=sources.targets,
+                suspects=self._suspects,
                 levels=calls.levels,
                 timers=self._timers,
                 status=lambda: status_view(sources, changes.convergence),
--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -11,6 +11,7 @@
 from acaciayard_calls import (
     CallParts,
     CallServer,
+    CallTold,
     Dispatcher,
     EntryServer,
     GatePolicy,
@@ -18,6 +19,8 @@
     Picker,
     ServiceLevels,
     SharedRetryBudgets,
+    SuspectNews,
+    Suspects,
     TargetNews,
     call_pool,
 )
@@ -84,6 +87,11 @@
     return target.state == TargetState.DRAINING
 
 
+def _told_call(told: CallTold) -> str:
+    """A call at work on a target that ended, as a log line names it."""
+    return f"{told.request_id} {told.fingerprint}{' blamed' if told.is_blamed else ''}"
+
+
 class _Builder:
     """Makes the parts in the order in which they need each other."""
 
@@ -111,6 +119,11 @@
         )
         self._calls_log = CallLog(log)
         self._members: Membership | None = None
+        self._suspects = Suspects(
+            timers=timers,
+            dialect=platform.dialect,
+            tell=self._log_suspect,
+        )
 
     def _publish(self, targets: tuple[TargetInfo, ...]) -> None:
         if self._members is None:
@@ -138,9 +151,12 @@
             what=news.what,
             reason=news.reason or None,
             sequence=news.sequence or None,
-            at_work="; ".join(f"{c.request_id} {c.fingerprint}" for c in news.at_work) or None,
+            at_work="; ".join(map(_told_call, news.at_work)) or None,
         )
 
+    def _log_suspect(self, news: SuspectNews) -> None:
+        self._log.info("suspect", **news.fields())
+
     def _log_member(self, before: Member | None, now: Member) -> None:
         if before is None or before.state != now.state or before.incarnation != now.incarnation:
             self._log.info(
@@ -167,7 +183,7 @@
             publish=self._publish,
             lease=settings.announce_every * _ANNOUNCEMENTS_MISSED,
             policy=_GATE_POLICY,
-            dialect=self._platform.dialect,
+            suspects=self._suspects,
             is_settled=False,
             tell=self._log_target,
         )
@@ -262,6 +278,7 @@
             detector=DetectorSettings(),
         )
         self._members.table.subscribe(self._log_member)
+        self._suspects.share(self._members)
         return self._members
 
     def _entry(self, targets: LocalTargets, members: Membership) -> tuple[EntryServer, Dispatcher]:
@@ -287,6 +304,7 @@
                 seed=self._seed,
                 invariants=self._invariants,
                 dialect=self._platform.dialect,
+                suspects=self._suspects,
                 budgets=budgets,
                 tasks=self._tasks,
             )
@@ -331,6 +349,9 @@
                 lambda: sum(t.gate.busy_seconds for t in targets.all),
             ),
             Gauge("targets_ended", "Targets that ended at work so far", lambda: targets.ended),
+            Gauge("suspects", "Requests under suspicion", lambda: self._suspects.suspected),
+            Gauge("barred", "Requests that are refused", lambda: self._suspects.barred),
+            Gauge("calls_barred", "Calls refused as barred", lambda: self._suspects.refused),
             Gauge("rejected", "Bad configurations so far", lambda: self._versions.rejected),
             Gauge("lines_dropped", "Log lines dropped so far", lambda: self._lines.dropped),
             Gauge("faults", "Connections ended by a fault", lambda: self._calls_log.faults),
--- a/packages/membership/src/acaciayard_membership/__init__.py
+++ b/packages/membership/src/acaciayard_membership/__init__.py
@@ -3,7 +3,7 @@
 from ._detector import DetectorSettings, FailureDetector
 from ._exchange import Exchanger, Joined, JoinFailed
 from ._gossip import GossipQueue, GossipSender
-from ._member import Member, MemberState, TargetInfo, TargetState
+from ._member import Member, MemberState, Suspicion, TargetInfo, TargetState
 from ._messages import MEMBER_CODEC, MEMBERSHIP_MESSAGES
 from ._rendezvous import rendezvous
 from ._service import Membership, membership
@@ -25,6 +25,7 @@
     "MemberTable",
     "Membership",
     "Neighbourhood",
+    "Suspicion",
     "TargetInfo",
     "TargetState",
     "membership",
--- a/packages/membership/src/acaciayard_membership/_member.py
+++ b/packages/membership/src/acaciayard_membership/_member.py
@@ -9,16 +9,28 @@
 
 import attrs
 from attrs import evolve, field, frozen
-from attrs.validators import and_, ge, in_, instance_of, le, lt, max_len
+from attrs.validators import and_, ge, in_, instance_of, le, lt, max_len, min_len
 
 from acaciayard_wire import Address
 
-__all__ = ["PORT", "Member", "MemberState", "TargetInfo", "TargetState", "is_ip"]
+__all__ = [
+    "PORT",
+    "Member",
+    "MemberState",
+    "Suspicion",
+    "TargetInfo",
+    "TargetState",
+    "is_ip",
+]
 
 #: Characters of a name; those of hosts, targets and services are some tens long.
 _LONGEST_NAME: Final = 250
 #: Targets on one host; it has one or two, and some that leave.
 _MOST_TARGETS: Final = 300
+#: Suspicions that one daemon tells; it sends fewer, and the bound is for records of others.
+_MOST_SUSPICIONS: Final = 100
+#: Bytes of the fingerprint of a request.
+_FINGERPRINT_BYTES: Final = 8
 _NAME: Final = and_(instance_of(str), max_len(_LONGEST_NAME))
 _COUNT: Final = and_(instance_of(int), ge(0), lt(2**63))
 #: Validates a port number; 0 where there is no such port.
@@ -77,6 +89,32 @@
     born: int = field(default=0, validator=_COUNT)
 
 
+@frozen
+class Suspicion:
+    """What a daemon holds against a request that was at work when targets ended.
+
+    Of two about one request the later one wins, by `age`.
+    """
+
+    #: What the request asks for, as a hash.
+    fingerprint: bytes = field(
+        validator=and_(instance_of(bytes), min_len(_FINGERPRINT_BYTES), max_len(_FINGERPRINT_BYTES))
+    )
+    #: Grows with each piece of evidence.
+    sequence: int = field(validator=_COUNT)
+    #: Targets that have ended under it, one after the other; 0 once a target has answered it.
+    ends: int = field(validator=_COUNT)
+
+    def with_changes(self, **changes: Any) -> Suspicion:
+        """A copy with some attributes changed."""
+        return evolve(self, **changes)
+
+    @property
+    def age(self) -> tuple[int, int]:
+        """Its place in the order of all that is believed of this request."""
+        return (self.sequence, self.ends)
+
+
 @frozen
 class Member:
     """One daemon, as of one moment that it chose itself.
@@ -89,7 +127,7 @@
     """
 
     #: Name of the host.
-    host: str = field(validator=and_(_NAME, attrs.validators.min_len(1)))
+    host: str = field(validator=and_(_NAME, min_len(1)))
     #: Grows with every start of the daemon.
     incarnation: int = field(validator=_COUNT)
     #: Grows with every change that the daemon makes to its record.
@@ -114,6 +152,8 @@
     link_mbps: float = field(default=0.0, validator=_is_bandwidth)
     #: Whether the platform's store says where it can be met.
     is_listed: bool = False
+    #: What it has found out itself of requests that were at work when targets ended.
+    suspicions: tuple[Suspicion, ...] = field(default=(), validator=max_len(_MOST_SUSPICIONS))
 
     def with_changes(self, **changes: Any) -> Member:
         """A copy with some attributes changed."""
--- a/packages/membership/src/acaciayard_membership/_table.py
+++ b/packages/membership/src/acaciayard_membership/_table.py
@@ -14,7 +14,7 @@
 from acaciayard_timers import TimerService
 from acaciayard_wire import MessageError
 
-from ._member import Member, MemberState, TargetInfo
+from ._member import Member, MemberState, Suspicion, TargetInfo
 from ._messages import MEMBER_CODEC
 
 __all__ = ["BUCKETS", "MemberTable", "Neighbourhood"]
@@ -244,6 +244,13 @@
         if not own.is_listed:
             self._change_own(own.with_changes(is_listed=True, sequence=own.sequence + 1))
 
+    def set_suspicions(self, suspicions: tuple[Suspicion, ...]) -> None:
+        """Tell the others what was found out here of requests that end targets."""
+        own = self.own
+        if suspicions != own.suspicions:
+            changed = own.with_changes(suspicions=suspicions, sequence=own.sequence + 1)
+            self._change_own(changed)
+
     def leave(self) -> None:
         """Tell the others that this daemon leaves."""
         own = self.own
