Suspicion travels with the call; all calls at an end are blamed; a barred call says nothing of hosts

Cause, from the modelled mesh: a second try came to its trial before the news of the first end, so ends of one copy after the other counted once (6 ends where 3 are due); a trial beside a fresh fatal call took its blame (up to 7 ends). A refusal of a suspect counted as a failure of its host.

--- a/packages/calls/src/acaciayard_calls/__init__.py
+++ b/packages/calls/src/acaciayard_calls/__init__.py
@@ -15,13 +15,13 @@
 from ._local import LocalExchange
 from ._losses import Loss, loss_of
 from ._messages import CLAIM_MESSAGES, ClaimAnswer, ClaimRequest, ReleaseRequest
-from ._picker import Picker
+from ._picker import Picker, trial_rank
 from ._pool import StreamPool, call_pool
 from ._remote import RemoteExchange
 from ._router import Plan, Router
 from ._server import CallServer
 from ._suspects import ENDS_TO_BAR, SuspectNews, Suspects
-from ._target import Announcement, LocalTarget
+from ._target import Announcement, CallAtWork, LocalTarget
 from ._targets import ANNOUNCE_EVERY, LEASE, CallTold, Heard, LocalTargets, TargetNews
 
 __all__ = [
@@ -38,6 +38,7 @@
     "Answered",
     "Attempt",
     "Call",
+    "CallAtWork",
     "CallEnded",
     "CallEvents",
     "CallParts",
@@ -86,4 +87,5 @@
     "Try",
     "call_pool",
     "loss_of",
+    "trial_rank",
 ]
--- a/packages/calls/src/acaciayard_calls/_call.py
+++ b/packages/calls/src/acaciayard_calls/_call.py
@@ -9,6 +9,7 @@
 from attrs import evolve, frozen
 
 from acaciayard_http1 import BodyPart, End, Headers
+from acaciayard_membership import Suspicion
 
 from ._events import Try
 
@@ -61,6 +62,9 @@
     prefers_fastest: bool = False
     #: Whether a target may have run the call before, or it is made by a run that was a repeat.
     is_repeat: bool = False
+    #: What the entry holds against the call, `None` for nothing; it travels with the call, since a
+    #: second try comes to its host before the news of the first one's end.
+    suspicion: Suspicion | None = None
 
     def with_changes(self, **changes: Any) -> Call:
         """A copy with some attributes changed."""
@@ -104,6 +108,8 @@
     is_overload: bool = False
     #: Whether a target itself refused, so that the call counts as one that arrived there.
     is_by_target: bool = False
+    #: Whether the call itself is refused, so that every host would refuse it.
+    is_barred: bool = False
 
 
 @frozen
--- a/packages/calls/src/acaciayard_calls/_call_run.py
+++ b/packages/calls/src/acaciayard_calls/_call_run.py
@@ -143,7 +143,8 @@
                     attempt.exchange.close()
                     last = outcome if isinstance(last, NotRun) else last
                     self._offers.note_refused(offer, outcome)
-                    if self._suspicion is not None or not self._may_offer_again(outcome):
+                    is_on_trial = self._suspicion is not None and outcome.is_overload
+                    if is_on_trial or outcome.is_barred or not self._may_offer_again(outcome):
                         return last
                     continue
                 case OutcomeUnknown():
@@ -173,7 +174,7 @@
 
     def _offered(self, offer: Offer) -> Call:
         """The call as it is offered to a host."""
-        call = self._numbered()
+        call = self._numbered().with_changes(suspicion=self._suspicion)
         return call if offer.may_wait else call.with_changes(start_by=self._timers.now())
 
     def _numbered(self) -> Call:
--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -278,7 +278,9 @@
     async def _finish(
         self, head: RequestHead, plan: Plan, outcome: Answered | NotRun | OutcomeUnknown
     ) -> bool:
-        if not isinstance(outcome, Answered) or outcome.answer.status >= 500:
+        is_barred = isinstance(outcome, NotRun) and outcome.is_barred
+        is_good = isinstance(outcome, Answered) and outcome.answer.status < 500
+        if not (is_good or is_barred):  # what is barred tells nothing of how callers come back
             self._context.first_asked.note_sent_back(plan.route.name)
         match outcome:
             case Answered(answer, attempt):
@@ -293,6 +295,7 @@
                 self._ended.retry_after = outcome.retry_after
                 self._ended.is_overload = outcome.is_overload
                 self._ended.is_by_target = outcome.is_by_target
+                self._ended.is_barred = outcome.is_barred
                 await self._answers.refuse(head, outcome, 503)
             case OutcomeUnknown():
                 self._note("unknown", 504, outcome.reason)
--- a/packages/calls/src/acaciayard_calls/_dispatcher.py
+++ b/packages/calls/src/acaciayard_calls/_dispatcher.py
@@ -60,7 +60,8 @@
             candidate = self._candidate(suspicion, plan, router, refused)
             if candidate is None:
                 return last
-            attempt = self._parts.attempt(call, candidate)
+            offered = call.with_changes(suspicion=suspicion)
+            attempt = self._parts.attempt(offered, candidate)
             refusal = await self._await_admission(attempt, call)
             if refusal is None:
                 return attempt
--- a/packages/calls/src/acaciayard_calls/_events.py
+++ b/packages/calls/src/acaciayard_calls/_events.py
@@ -54,6 +54,8 @@
     is_overload: bool = False
     #: Whether the target itself refused.
     is_by_target: bool = False
+    #: Whether it was refused as a request that ends targets.
+    is_barred: bool = False
     #: Milliseconds for which its caller has been asking already, 0 for a first call; an estimate.
     age_ms: float = 0.0
     #: What it asks for, in hexadecimal digits, the same each time that it comes; told where a try
--- a/packages/calls/src/acaciayard_calls/_losses.py
+++ b/packages/calls/src/acaciayard_calls/_losses.py
@@ -31,6 +31,8 @@
     BY_TARGET = "by_target"
     #: Refused for another reason: a leaving target, no target, no configuration.
     NOT_TAKEN = "not_taken"
+    #: Refused, since it ends the targets that run it.
+    BARRED = "barred"
     #: The target answered with a failure of its own.
     FAILED = "failed"
     #: Nobody can tell whether it ran.
@@ -52,6 +54,8 @@
         case "answered":
             is_late = 0 < ended.goal_ms < ended.age_ms + ended.ms
             return _why_late(ended) if is_late else None
+        case "not_run" if ended.is_barred:
+            return Loss.BARRED
         case "not_run" if ended.is_by_target:
             return Loss.BY_TARGET
         case "not_run" if ended.is_overload:
--- a/packages/calls/src/acaciayard_calls/_messages.py
+++ b/packages/calls/src/acaciayard_calls/_messages.py
@@ -8,12 +8,14 @@
 
 import attrs
 from attrs import field, frozen
-from attrs.validators import and_, ge, gt, lt
+from attrs.validators import and_, ge, gt, lt, max_len
 
 from acaciayard_http1 import Headers
 from acaciayard_resources import PRIORITIES
 from acaciayard_wire import MessageCodec
 
+from ._fingerprints import FINGERPRINT_BYTES
+
 __all__ = [
     "CALL_CODEC",
     "CLAIM_MESSAGES",
@@ -82,6 +84,10 @@
     is_repeat: bool = False
     #: Whether the whole body follows after the admission, and the call runs only then.
     is_held: bool = False
+    #: What the daemon that asks holds against the call: its fingerprint, and the number and the
+    #: ends of the suspicion; empty for nothing.
+    fingerprint: bytes = field(default=b"", validator=max_len(FINGERPRINT_BYTES))
+    suspicion: list[int] = field(factory=list, validator=max_len(2))
 
 
 @frozen
@@ -160,6 +166,8 @@
     #: they answer seldom and refuse often: late calls fell from 58 to 52 in 1,000 (eight seeds)
     #: when refusals told it as well.
     pace: float = 0.0
+    #: Whether the call itself is refused, so that every host would refuse it.
+    is_barred: bool = False
 
 
 @frozen
--- a/packages/calls/src/acaciayard_calls/_picker.py
+++ b/packages/calls/src/acaciayard_calls/_picker.py
@@ -14,7 +14,7 @@
 from ._candidates import FAILURE_MEMORY, TOLERATED, Candidate, Candidates
 from ._router import Plan, Router
 
-__all__ = ["Picker"]
+__all__ = ["Picker", "trial_rank"]
 
 #: Failed calls in a row that eject a host.
 _FAILURES_TO_EJECT: Final = 5
@@ -215,7 +215,7 @@
             and not router.is_drained(c.host, plan.service.name)
             and c.host not in avoid
         ]
-        return min(usable, key=lambda c: _trial_rank(c, key)) if usable else None
+        return min(usable, key=lambda c: trial_rank(c.host, key)) if usable else None
 
     # --- outcomes -----------------------------------------------------------------------------
 
@@ -250,7 +250,7 @@
             case NotRun(is_by_target=True):
                 # It may refuse calls of one kind alone, such as long uploads: no cause to eject it.
                 self._note_share(candidate, now)
-            case NotRun(is_overload=True):
+            case NotRun(is_overload=True) | NotRun(is_barred=True):
                 return
             case NotRun() | OutcomeUnknown(is_silent=True):
                 self._failed(candidate, now, weight=_FAILURES_TO_EJECT)
@@ -284,8 +284,9 @@
             candidate.failure_share = TOLERATED  # it gets calls again after its ejection
 
 
-def _trial_rank(candidate: Candidate, key: bytes) -> bytes:
-    return hashlib.blake2b(candidate.host.encode(), key=key, digest_size=8).digest()
+def trial_rank(host: str, key: bytes) -> bytes:
+    """The place of a host in the order of those that a key's trials go to, the first one least."""
+    return hashlib.blake2b(host.encode(), key=key, digest_size=8).digest()
 
 
 def _offered_by(member: Member) -> dict[str, list[TargetInfo]]:
--- a/packages/calls/src/acaciayard_calls/_remote.py
+++ b/packages/calls/src/acaciayard_calls/_remote.py
@@ -89,6 +89,7 @@
             return refusal
         call = self._call
         is_whole = call.is_whole and not self._is_held
+        held = call.suspicion
         head = CallHead(
             service=call.service,
             method=call.method,
@@ -104,6 +105,8 @@
             is_idempotent=call.is_idempotent,
             is_repeat=call.is_repeat,
             is_held=self._is_held,
+            fingerprint=held.fingerprint if held is not None else b"",
+            suspicion=[held.sequence, held.ends] if held is not None else [],
         )
         self._sent = True
         with contextlib.suppress(StreamLostError):  # the answer will not come: that says it
@@ -190,7 +193,11 @@
         self._pace = refused.pace
         self._release(reuse=self._body_sent or self._is_held)
         return NotRun(
-            refused.reason, refused.retry_after, refused.is_overload, refused.is_by_target
+            refused.reason,
+            refused.retry_after,
+            refused.is_overload,
+            refused.is_by_target,
+            refused.is_barred,
         )
 
     async def send_part(self, data: bytes) -> None:
--- a/packages/calls/src/acaciayard_calls/_server.py
+++ b/packages/calls/src/acaciayard_calls/_server.py
@@ -8,6 +8,7 @@
 import anyio.abc
 
 from acaciayard_http1 import BodyPart, End
+from acaciayard_membership import Suspicion
 from acaciayard_timers import PauseDetector, Subscription, TimerService
 from acaciayard_wire import (
     ByteStream,
@@ -142,6 +143,8 @@
                 raise MessageError("the body of a refused call is not read")
             return
         self._running += 1
+        if head.suspicion:
+            self._targets.suspects.merge([Suspicion(head.fingerprint, *head.suspicion)])
         call = self._call_of(head)
         exchange = LocalExchange(
             call,
@@ -300,6 +303,7 @@
                 exchange.load,
                 refusal.is_by_target,
                 exchange.pace,
+                refusal.is_barred,
             )
         )
 
--- a/packages/calls/src/acaciayard_calls/_suspects.py
+++ b/packages/calls/src/acaciayard_calls/_suspects.py
@@ -7,7 +7,7 @@
 
 * all calls at work when a target ends become suspects;
 * a suspect runs only as a trial: at the one host that all daemons choose for it, with no other
-  suspect beside it.  So a target that ends then has ended under it, and not under its neighbours;
+  suspect beside it, so that two suspects are not blamed for each other again and again;
 * a good answer clears it at once;
 * one whose target has ended `ENDS_TO_BAR` times in a row is barred: it is refused, unsent.
 
@@ -37,8 +37,10 @@
 __all__ = ["ENDS_TO_BAR", "SuspectNews", "Suspects"]
 
 #: Targets that must have ended under a call, one after the other, before it is barred.  The first
-#: may have had any of its calls as the cause; the second and the third ran no other suspect, so
-#: that two faults from outside at just those moments would be needed to bar a call wrongly.
+#: may have had any of its calls as the cause; at the second and the third this one was the only
+#: suspect, so that two ends for another reason at just those moments would be needed to bar a good
+#: call.  In 84 modelled runs with 13 hosts, half of whose calls ask for one of five things, that
+#: happened to none of some 130,000 good calls.
 ENDS_TO_BAR: Final = 3
 #: Seconds for which a suspect is remembered that does not come again.
 _SUSPECT_FOR: Final = 600.0
@@ -181,12 +183,14 @@
             f"{suspicion.ends} targets in a row have ended under this request "
             f"{suspicion.fingerprint.hex()}",
             self._barred_for(suspicion),
+            is_barred=True,
         )
 
     @staticmethod
     def busy() -> NotRun:
         """How a suspect is refused where another one is on trial."""
-        return NotRun("another request under suspicion runs at the target", _TRIAL_RETRY_AFTER)
+        reason = "another request under suspicion runs at the target"
+        return NotRun(reason, _TRIAL_RETRY_AFTER, is_overload=True)
 
     # --- evidence -----------------------------------------------------------------------------
 
@@ -239,6 +243,8 @@
             self._known[suspicion.fingerprint] = _Known(suspicion, self._timers.now())
             self._tell_of(suspicion, is_heard=not is_own)
             self._make_room()
+        if is_news and not is_own:
+            self._own.pop(suspicion.fingerprint, None)  # the one that knows more passes it on
         if is_own and (is_news or suspicion.fingerprint not in self._own):
             self._own[suspicion.fingerprint] = self._known[suspicion.fingerprint].suspicion
             self._publish()
--- a/packages/calls/src/acaciayard_calls/_target.py
+++ b/packages/calls/src/acaciayard_calls/_target.py
@@ -150,10 +150,10 @@
 
     @property
     def blamed(self) -> frozenset[CallAtWork]:
-        """The calls of which one has ended it; none while it lives.
+        """The calls of which one may have ended it; none while it lives.
 
-        A call that was under suspicion is the only one of those at work; where there was none, it
-        may have been any of them.
+        All that were at work, also beside a suspect: with the suspect alone blamed, three fatal
+        requests at once ended up to seven targets each in place of four (modelled mesh).
         """
         return self._blamed
 
@@ -162,8 +162,7 @@
         if self._is_ended:
             return False
         self._is_ended = True
-        suspects = {each for each in self._at_work if each.suspicion is not None}
-        self._blamed = frozenset(suspects or self._at_work)
+        self._blamed = frozenset(self._at_work)
         return True
 
     def begin(self, call: Call, suspicion: Suspicion | None) -> CallAtWork:
--- a/packages/calls/tests/call_rig.py
+++ b/packages/calls/tests/call_rig.py
@@ -80,14 +80,18 @@
 
     async def open(self, tasks: anyio.abc.TaskGroup) -> None:
         """Listen."""
-        listener = await listen(
+        self._listener = await listen(
             IP,
             0,
             traffic=Traffic(),
             purpose=Purpose.CALLS,
             on_stream=lambda stream: tasks.start_soon(self._serve, stream),
         )
-        self.port = listener.port
+        self.port = self._listener.port
+
+    def close(self) -> None:
+        """Listen no more."""
+        self._listener.close()
 
     async def _serve(self, stream: ByteStream) -> None:
         self.connections += 1
