Time is told by the clock that counts a suspension of the host; what came due meanwhile happens on waking

Cause: the timer service went by the steady clock, which does not count a suspension, so nobody noticed one: leases held on, deadlines ran on for the length of the sleep. Change: the clock that counts it; each new wake-up compares both clocks and sets all that wait anew where they have moved apart. The detector of pauses, and so gates, leases, budgets and membership, hear of a suspension as of a pause, within 0.25 s. Ruled out: a timerfd on that clock (a descriptor, and a system call for each wake-up).

--- a/packages/bench/src/acaciayard_bench/_crowd.py
+++ b/packages/bench/src/acaciayard_bench/_crowd.py
@@ -12,6 +12,7 @@
 from attrs import frozen
 
 from acaciayard_standins import HostPlan, LocalMesh, MeshHost, StandInProcess
+from acaciayard_timers import EventLoopTimers
 
 from ._sampling import guard_machine
 
@@ -59,7 +60,7 @@
         puts = [
             {"kind": "service", "spec": {"name": f"{name}-{number}"}} for number in range(count)
         ]
-        asked = time.monotonic()
+        asked = EventLoopTimers().now()
         body = {"author": "bench", "puts": puts}
         answer = httpx.post(
             f"{self.daemon.api}/v1/changes", json=body, timeout=20.0, trust_env=False
--- a/packages/bench/src/acaciayard_bench/_peers.py
+++ b/packages/bench/src/acaciayard_bench/_peers.py
@@ -77,7 +77,8 @@
         version = configuration.version
         self._reached[version] = self._reached.get(version, 0) + 1
         if self._reached[version] == self._count:
-            click.echo(f"event=peers_in_force version={version} monotonic={time.monotonic():.6f}")
+            now = EventLoopTimers().now()
+            click.echo(f"event=peers_in_force version={version} monotonic={now:.6f}")
 
 
 class _Peers:
--- a/packages/daemon/src/acaciayard_daemon/_build.py
+++ b/packages/daemon/src/acaciayard_daemon/_build.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from typing import Final
 from urllib.parse import urlsplit
 
@@ -134,7 +133,7 @@
             "in_force",
             version=configuration.version,
             resources=len(configuration.stored),
-            monotonic=round(time.monotonic(), 6),
+            monotonic=round(self._timers.now(), 6),
         )
 
     def _log_suspect(self, news: SuspectNews) -> None:
--- a/packages/timers/src/acaciayard_timers/_pause.py
+++ b/packages/timers/src/acaciayard_timers/_pause.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 from typing import Final
 
-from ._service import TimerService
+from ._service import SLEEP_NOTICED_WITHIN, TimerService
 
 __all__ = ["PauseDetector"]
 
 #: Seconds between two looks at the clock.
-_PERIOD: Final = 0.25
+_PERIOD: Final = SLEEP_NOTICED_WITHIN
 
 
 class PauseDetector:
--- a/packages/timers/src/acaciayard_timers/_service.py
+++ b/packages/timers/src/acaciayard_timers/_service.py
@@ -20,10 +20,23 @@
 import anyio.lowlevel
 from attrs import define, field, frozen
 
-__all__ = ["EventLoopTimers", "ManualTimers", "Subscription", "Tick", "TimerService"]
+__all__ = [
+    "SLEEP_NOTICED_WITHIN",
+    "EventLoopTimers",
+    "ManualTimers",
+    "Subscription",
+    "Tick",
+    "TimerService",
+]
 
 #: How late a tick may be, in periods, before it counts as late.
 _LATE_PERIODS: Final = 1.0
+#: Seconds after waking within which a suspension of the host is noticed: the period of the detector
+#: of pauses, whose ticks ask for a wake-up each time.
+SLEEP_NOTICED_WITHIN: Final = 0.25
+#: Seconds by which the two clocks must have moved apart for the host to have slept.  They are read
+#: within microseconds of each other, but a process may be switched off in between.
+_LEAST_SLEEP: Final = 0.05
 
 
 @frozen
@@ -137,25 +150,77 @@
                 subscription.cancel()
 
 
+class _LoopTimer(Subscription):
+    """A wake-up that waits on the event loop."""
+
+    __slots__ = ("_handle", "_waiting", "when")
+
+    def __init__(self, callback: Callable[[], None], when: float, waiting: set[_LoopTimer]) -> None:
+        super().__init__(callback)
+        self.when = when
+        self._waiting = waiting
+        self._handle: asyncio.TimerHandle | None = None
+
+    def arm(self, seconds: float) -> None:
+        """Wake up after so long by the clock of the loop, and not when it was set before."""
+        if self._handle is not None:
+            self._handle.cancel()
+        loop = asyncio.get_running_loop()
+        self._handle = loop.call_later(seconds if seconds > 0 else 0.0, self.fire)
+
+    def cancel(self) -> None:
+        if not self._done and self._handle is not None:
+            self._done = True
+            self._waiting.discard(self)
+            self._handle.cancel()
+
+    def fire(self) -> None:
+        self._waiting.discard(self)
+        super().fire()
+
+
 class EventLoopTimers(TimerService):
     """The real clock, on the timers of the running event loop.
 
     The time is read from the system and not from the loop, whose clock stands still while it works
     through what is ready.
+
+    It is the clock that counts the time for which the host was suspended: leases ended meanwhile,
+    and callers waited.  The steady clock, by which the loop wakes, does not count it.  So each new
+    wake-up compares both, and where the host has slept all that wait are set anew.  The detector of
+    pauses asks for one each quarter of a second, so that what came due in the sleep happens within
+    `SLEEP_NOTICED_WITHIN` of waking, also in an idle process.  A `timerfd` on that clock would wake
+    at once and cost a descriptor and a system call for each wake-up.
+
+    Where a system has no such clock the steady one is used, and a suspension is not noticed.
     """
 
+    def __init__(self) -> None:
+        self._clock: int = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+        self._waiting: set[_LoopTimer] = set()
+        self._ahead = self.now() - time.monotonic()
+
     def now(self) -> float:
-        return time.monotonic()
+        return time.clock_gettime(self._clock)
 
     def wall(self) -> float:
         return time.time()
 
     def call_at(self, when: float, callback: Callable[[], None]) -> Subscription:
-        subscription = Subscription(callback)
-        delay = max(0.0, when - time.monotonic())
-        handle = asyncio.get_running_loop().call_later(delay, subscription.fire)
-        subscription._withdraw = handle.cancel
-        return subscription
+        now = time.clock_gettime(self._clock)
+        if now - time.monotonic() > self._ahead + _LEAST_SLEEP:
+            self._set_anew()
+        timer = _LoopTimer(callback, when, self._waiting)
+        timer.arm(when - now)
+        self._waiting.add(timer)
+        return timer
+
+    def _set_anew(self) -> None:
+        """The host has slept: the loop would wake all that wait too late by that."""
+        now = self.now()
+        self._ahead = now - time.monotonic()
+        for timer in self._waiting:
+            timer.arm(timer.when - now)
 
 
 class ManualTimers(TimerService):
