A version whose reading fails by a fault of this program ends no daemon

It is rejected with the fault as its finding; the version in force stays. The test fails without it.

--- a/packages/hosted/src/acaciayard_hosted/_versions.py
+++ b/packages/hosted/src/acaciayard_hosted/_versions.py
@@ -7,13 +7,21 @@
 
 from __future__ import annotations
 
+import traceback
 from collections.abc import Callable
 from typing import Final
 
 import structlog
 from attrs import frozen
 
-from acaciayard_resources import Configuration, FindingsError, Invariant, Invariants
+from acaciayard_resources import (
+    Configuration,
+    Finding,
+    FindingsError,
+    Invariant,
+    Invariants,
+    Place,
+)
 from acaciayard_timers import Signal, TimerService
 
 __all__ = ["AcceptedVersion", "AcceptedVersions", "ConfigurationReader"]
@@ -23,6 +31,8 @@
 ConfigurationReader = Callable[[bytes, Configuration | None], Configuration]
 #: Findings of one bad document that are logged.
 _MOST_FINDINGS: Final = 5
+#: Lines of a traceback that are logged.
+_TRACE_LINES: Final = 8
 
 
 @frozen
@@ -118,6 +128,14 @@
         except FindingsError as findings:
             self._reject(document, findings, source)
             return False
+        except Exception as error:
+            # A fault of the reader comes with the document: it would end each daemon that reads it,
+            # one after the other and again at each start.  The version in force stays.
+            trace = "".join(traceback.format_exception(error)[-_TRACE_LINES:])
+            self._log.error("configuration_not_read", trace=trace.replace("\n", " | "))
+            place = Place(source=source)
+            self._reject(document, FindingsError.of([_fault(place, error)]), source)
+            return False
         if configuration.version <= self.version:
             return False
         self._invariants.expect(configuration.version > self.version, Invariant.NEVER_BACK)
@@ -155,3 +173,9 @@
         for version_listener in self._version_listeners:
             version_listener(before, accepted)
         self._changed.notify()
+
+
+def _fault(place: Place, error: Exception) -> Finding:
+    """The finding for a document that this program has a fault in reading."""
+    message = f"cannot be read by this release: {type(error).__name__}: {error}"
+    return Finding(place, message, "leave out what is new in it, and report the fault")
--- a/packages/hosted/tests/test_versions.py
+++ b/packages/hosted/tests/test_versions.py
@@ -62,6 +62,20 @@
             self.assertFalse(versions.offer(b"nonsense", source="test"))
         self.assertEqual((seen, versions.rejected), ([3], 1))
 
+    def test_one_that_the_reader_has_a_fault_for_ends_no_daemon(self) -> None:
+        """It would come to each daemon, and again at each start."""
+
+        def faulty(document: bytes, earlier: Configuration | None) -> Configuration:
+            if document == b"8":
+                raise KeyError("no such field")
+            return read(document, earlier)
+
+        log = structlog.wrap_logger(structlog.testing.CapturingLogger())
+        versions = AcceptedVersions(faulty, timers=ManualTimers(), invariants=Invariants(), log=log)
+        for document in (b"3", b"8", b"8", b"9"):
+            versions.offer(document, source="test")
+        self.assertEqual((versions.version, versions.rejected), (9, 1))
+
 
 class StoreFollowerTest(unittest.TestCase):
     def run_follower(
