--- a/packages/calls/src/acaciayard_calls/_fingerprints.py
+++ b/packages/calls/src/acaciayard_calls/_fingerprints.py
@@ -24,8 +24,9 @@
 def fingerprint_of(call: Call, dialect: Dialect) -> bytes:
     """What a call asks for: method, host, path, caller and body.
 
-    It takes 3 us for a call without a body.  A body that streams is not known: such calls are told
-    apart by their heads and lengths alone.
+    It takes 9 us for a call without a body and 2.6 ms for a body of 1 MB (medians of seven, beside
+    other work).  A body that streams is not known: such calls are told apart by their heads and
+    lengths alone.
     """
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     for part in (call.method, call.target, *_identifying_fields(call, dialect)):
--- a/packages/calls/src/acaciayard_calls/_suspects.py
+++ b/packages/calls/src/acaciayard_calls/_suspects.py
@@ -48,10 +48,11 @@
 #: have put the targets right.  Each trial that ends one more target doubles it, to a day at most.
 _BARRED_FOR: Final = 600.0
 _LONGEST_BAR: Final = 86_400.0
-#: Suspects that are remembered.  One takes some 300 bytes here; targets of ten slots that end once
+#: Suspects that are remembered.  One takes some 230 bytes here; targets of ten slots that end once
 #: a second for ten minutes make 6,000, of which the newest are kept.
 _MOST_KNOWN: Final = 1024
-#: Suspicions that a daemon passes on as its own: 13 bytes each in a record of some 300.
+#: Suspicions that a daemon passes on as its own: 13 bytes each in its record, 312 for all, where a
+#: datagram of news holds 1,200.
 _MOST_TOLD: Final = 24
 #: Seconds after which a caller may come back while another suspect is on trial: a run of a call
 #: takes about as long.
@@ -156,7 +157,7 @@
     def of(self, call: Call) -> Suspicion | None:
         """What is held against a call; `None` for nothing.
 
-        It costs nothing while nothing is suspected anywhere, and 3 us a call otherwise.
+        It costs 0.2 us while nothing is suspected anywhere, and a fingerprint otherwise.
         """
         if not self._known:
             return None
