A suspicion that comes with a call is checked as it is read; tests of the command, the API and explain

The check: a fingerprint of eight bytes with two numbers, or nothing of both; what fits neither was found out only when it was used, as a fault that ends the connection. The property fails without it.

--- a/packages/calls/src/acaciayard_calls/_messages.py
+++ b/packages/calls/src/acaciayard_calls/_messages.py
@@ -52,6 +52,16 @@
         raise ValueError(f"{attribute.name} has a name without a value")
 
 
+def _is_suspicion(
+    message: CallHead, attribute: attrs.Attribute[list[int]], value: list[int]
+) -> None:
+    """Validates number and ends of a suspicion, which come with a fingerprint or not at all."""
+    is_whole = len(value) == 2 and min(value) >= 0
+    is_empty = not value and not message.fingerprint
+    if not (is_empty or (is_whole and len(message.fingerprint) == FINGERPRINT_BYTES)):
+        raise ValueError(f"{attribute.name} is {value} for {len(message.fingerprint)} bytes")
+
+
 @frozen
 class CallHead:
     """A call, with its body where that is small."""
@@ -87,7 +97,7 @@
     #: What the daemon that asks holds against the call: its fingerprint, and the number and the
     #: ends of the suspicion; empty for nothing.
     fingerprint: bytes = field(default=b"", validator=max_len(FINGERPRINT_BYTES))
-    suspicion: list[int] = field(factory=list, validator=max_len(2))
+    suspicion: list[int] = field(factory=list, validator=_is_suspicion)
 
 
 @frozen
--- a/packages/calls/tests/test_losses.py
+++ b/packages/calls/tests/test_losses.py
@@ -33,6 +33,7 @@
         Loss.BY_TARGET,
     ),
     (CallEnded(outcome="not_run", status=503), Loss.NOT_TAKEN),
+    (CallEnded(outcome="not_run", status=503, is_barred=True), Loss.BARRED),
     (CallEnded(outcome="rejected", status=404), Loss.NOT_TAKEN),
     (CallEnded(outcome="unknown", status=504), Loss.UNKNOWN),
     (CallEnded(), Loss.CALLER_GONE),
--- a/packages/cli/tests/test_explain.py
+++ b/packages/cli/tests/test_explain.py
@@ -56,6 +56,14 @@
         told = explain("r4", read_lines(_lines())).lines
         self.assertEqual([line["request"] for line in told], ["r4.1", "r4"])
 
+    def test_the_end_of_a_target_belongs_to_the_requests_that_it_ran(self) -> None:
+        end = (
+            "time=2026-01-01T00:00:03Z level=info event=target host=h2 target=t1 what=ended"
+            ' at_work="r8 1869a57c2a95e02b blamed; r2 b452e24e0721881a blamed"'
+        )
+        told = explain("r2", read_lines([*_lines(), end])).lines
+        self.assertEqual([line.event for line in told], ["target", "call_ended"])
+
     def test_summary(self) -> None:
         summary = summarize(read_lines(_lines()))
         reason = "it would wait # s for a slot, and # s are worth waiting"
--- a/packages/hosted/tests/test_decoders.py
+++ b/packages/hosted/tests/test_decoders.py
@@ -15,7 +15,14 @@
 from acaciayard_calls._messages import CALL_CODEC, CallHead
 from acaciayard_hosted._delta import DeltaError, apply_delta, make_delta
 from acaciayard_hosted._relay import RELAY_MESSAGES
-from acaciayard_membership import MEMBERSHIP_MESSAGES, Member, MemberState, MemberTable, TargetInfo
+from acaciayard_membership import (
+    MEMBERSHIP_MESSAGES,
+    Member,
+    MemberState,
+    MemberTable,
+    Suspicion,
+    TargetInfo,
+)
 from acaciayard_membership._messages import MEMBER_CODEC, Probe, ProbeRequest
 from acaciayard_timers import ManualTimers
 from acaciayard_wire import MessageCodec, MessageError
@@ -123,6 +130,13 @@
             self.assertLess(abs(head.budget), float("inf"))
             self.assertEqual(head.start_within, head.start_within)
 
+    @given(st.binary(max_size=9), st.lists(st.integers(-2, 2**63 - 1), max_size=3))
+    def test_a_call_holds_a_suspicion_or_none(self, fingerprint: bytes, held: list[int]) -> None:
+        call = ["a", b"GET", b"/", b"", b"", True, 0, 0, 1.0, b"r", 1.0, False, False, False]
+        head = decode(CALL_CODEC, msgpack.packb([1, *call, fingerprint, held]))
+        if isinstance(head, CallHead) and head.suspicion:
+            Suspicion(head.fingerprint, *head.suspicion)
+
     def test_good_messages_pass(self) -> None:
         for message in (Probe(1, "a", 0, [b"x"]), ProbeRequest(1, "127.0.0.1", 80)):
             self.assertEqual(CODECS[0].decode(CODECS[0].encode(message)), message)
