--- a/packages/calls/tests/ablation.py
+++ b/packages/calls/tests/ablation.py
@@ -78,7 +78,7 @@
     ),
     Mechanism(
         "at once back to targets that shed",
-        lambda: mock.patch("load_model.refused_by_target", _late_return),
+        lambda: mock.patch("load_exchange.refused_by_target", _late_return),
     ),
     Mechanism("sound targets first", lambda: mock.patch.object(Picker, "_sound", _whole_domain)),
     Mechanism("free slots first", lambda: mock.patch.object(offers, "_EAGER_OFFERS", 0)),
--- a/packages/calls/tests/load_model.py
+++ b/packages/calls/tests/load_model.py
@@ -18,54 +18,42 @@
 
 import anyio
 import anyio.abc
-from attrs import field, frozen
 from call_rig import configuration
 from jumping_loop import JumpingLoop, LoopTimers
 from load import CallClass, Load, Outcome, Tally, Target
+from load_exchange import ModelParts
 
 from acaciayard_calls import (
     OWN_DIALECT,
-    Answer,
     Answered,
     Call,
-    CallParts,
     CallWatch,
-    Candidate,
     Dispatcher,
-    Exchange,
     Gate,
     GatePolicy,
     NotRun,
-    OutcomeUnknown,
     Picker,
     Router,
     SharedRetryBudgets,
-    SlotHeld,
     Suspects,
 )
-from acaciayard_calls._attempt import Attempt
 from acaciayard_calls._first_asked import FirstAsked
 from acaciayard_calls._intake import nested, start_by
-from acaciayard_calls._target_answers import refused_by_target
-from acaciayard_http1 import BodyPart, End, Headers
 from acaciayard_membership import Member, MemberState, MemberTable, TargetInfo
 from acaciayard_membership._messages import MEMBER_CODEC
 from acaciayard_resources import PRIORITIES, Invariants, RetryPolicy, Route, Service, TimeoutPolicy
 from acaciayard_timers import TimerService
 
-#: Seconds one way between a caller and its entry, and between failure domains.
+#: Seconds one way between a caller and its entry.
 CALLER_LINK: Final = 0.003
-DOMAIN_LINK: Final = 0.0009
-#: Seconds one way inside a failure domain.
-NEAR_LINK: Final = 0.0002
 #: Part of the time that it has left which a caller waits at most before it comes back.
 MOST_OBEYED: Final = 1 / 3
 
 
-class _Host:
+class Host:
     """A daemon with the target beside it."""
 
-    def __init__(self, mesh: _Mesh, target: Target, number: int) -> None:
+    def __init__(self, mesh: Mesh, target: Target, number: int) -> None:
         self.target = target
         self.mesh = mesh
         self.gate = Gate(
@@ -92,7 +80,7 @@
         self.table = MemberTable(self.member, mesh.timers)
         self.first_asked = FirstAsked(mesh.timers)
 
-    def meet(self, others: list[_Host]) -> None:
+    def meet(self, others: list[Host]) -> None:
         """Hear of all hosts, and be ready for callers."""
         for other in others:
             if other is not self:
@@ -101,7 +89,7 @@
             ratio=0.2, slack=64, window=10, members=lambda: len(others), timers=self.mesh.timers
         )
         self.dispatcher = Dispatcher(
-            _Parts(
+            ModelParts(
                 host=self.target.host,
                 picker=Picker(table=self.table, timers=self.mesh.timers, seed=self.seed),
                 targets=None,  # type: ignore[arg-type]  # only the real exchange asks for them
@@ -149,7 +137,7 @@
         return outcome
 
 
-class _Mesh:
+class Mesh:
     """All hosts, and the callers."""
 
     def __init__(self, load: Load, seed: int, timers: TimerService, tasks: Any) -> None:
@@ -164,12 +152,12 @@
         self.crossed = 0
         self.tallies = {kind.name: Tally() for kind in load.classes}
         self.hosts = {
-            t.host: _Host(self, t, number) for number, t in enumerate(load.targets, start=1)
+            t.host: Host(self, t, number) for number, t in enumerate(load.targets, start=1)
         }
         for host in self.hosts.values():
             host.meet(list(self.hosts.values()))
 
-    async def ask(self, kind: CallClass, host: _Host, is_counted: bool) -> None:
+    async def ask(self, kind: CallClass, host: Host, is_counted: bool) -> None:
         """One caller's call, with its repeats."""
         tally = self.tallies[kind.name] if is_counted else Tally()
         tally.asked += 1
@@ -208,148 +196,6 @@
             self.tasks.start_soon(self.ask, kind, self.seed.choice(hosts), is_counted)
 
 
-@frozen
-class _Parts(CallParts):
-    """Call parts whose attempts go to modelled targets."""
-
-    mesh: _Mesh = field(kw_only=True)
-
-    def attempt(self, call: Call, candidate: Candidate) -> Attempt:
-        self.picker.begin(candidate)
-        mesh = self.mesh
-        here = mesh.hosts[self.host]
-        there = mesh.hosts[candidate.host]
-        exchange = _ModelExchange(call, mesh, here, there)
-        return Attempt(candidate, exchange, self.picker, self.timers.now())  # type: ignore[arg-type]
-
-
-class _ModelExchange(Exchange):
-    """An attempt at a modelled target: through its real gate, then some time of work."""
-
-    def __init__(self, call: Call, mesh: _Mesh, here: _Host, there: _Host) -> None:
-        self._call = call
-        self._mesh = mesh
-        self._there = there
-        near = here.target.domain == there.target.domain
-        self._link = 0.0 if here is there else NEAR_LINK if near else DOMAIN_LINK
-        self._scope: anyio.CancelScope | None = None
-        self._slot: SlotHeld | None = None
-        self._is_aborted = False
-        self._is_acknowledged = False
-        self._was_sent = False
-        self.load = -1.0
-        self.pace = 0.0
-
-    @property
-    def was_sent(self) -> bool:
-        return self._was_sent
-
-    @property
-    def is_acknowledged(self) -> bool:
-        return self._is_acknowledged
-
-    @property
-    def is_committed(self) -> bool:
-        return self._was_sent
-
-    async def start(self) -> NotRun | None:
-        return None
-
-    async def answer(self) -> Answer | NotRun | OutcomeUnknown:
-        if not self._is_aborted:
-            with anyio.CancelScope() as scope:
-                self._scope = scope
-                return await self._run()
-        return OutcomeUnknown("cut")
-
-    async def _run(self) -> Answer | NotRun | OutcomeUnknown:
-        timers = self._mesh.timers
-        target = self._there.target
-        gate = self._there.gate
-        call = self._call
-        await timers.sleep(self._link)
-        self._is_acknowledged = True
-        entered: SlotHeld | NotRun | None
-        if target.gone[0] <= timers.now() < target.gone[1]:
-            entered = NotRun("the target drains", 0.1)
-        else:
-            entered = gate.try_enter(call.priority, call.deadline, call.start_by)
-            if entered is None:
-                entered = await gate.wait(call.priority, call.deadline)
-        if isinstance(entered, NotRun):
-            self._tell_load()
-            await timers.sleep(self._link)
-            return entered
-        self._slot = entered
-        self._was_sent = True
-        if timers.now() >= target.sheds_from and self._there.seed.random() < target.sheds:
-            refusal = refused_by_target(503, gate)
-            entered.release(is_good=False)
-            self._slot = None
-            self._tell_load()
-            await timers.sleep(self._link)
-            return refusal
-        status = await self._work(call)
-        is_lost = timers.now() >= target.loses_from and self._there.seed.random() < target.loses
-        entered.release(is_good=not is_lost)
-        self._there.busy += timers.now() - entered.since
-        self._slot = None
-        self._tell_load()
-        await timers.sleep(self._link)
-        if is_lost:
-            return OutcomeUnknown("the target gave no whole answer: reset")
-        self._mesh.answers += 1
-        self._mesh.crossed += self._link == DOMAIN_LINK
-        return Answer(status, b"", b"", True, 0)
-
-    def _tell_load(self) -> None:
-        self.load = self._there.gate.load
-        self.pace = self._there.gate.mean_seconds
-
-    async def _work(self, call: Call) -> int:
-        """The target's own work, and the call that it makes."""
-        mesh = self._mesh
-        kind = mesh.classes[call.target[1:].decode()]
-        spread = kind.spread
-        drawn = self._there.seed.lognormvariate(-spread * spread / 2, spread)
-        await mesh.timers.sleep(kind.work * drawn * self._slowness())
-        if self._there.seed.random() >= kind.nested_share:
-            return 200
-        called = mesh.classes[kind.nested]
-        left = min(called.deadline, call.deadline - mesh.timers.now())
-        outcome = await self._there.serve(called, left, call)
-        return 200 if isinstance(outcome, Answered) else 500
-
-    def _slowness(self) -> float:
-        target = self._there.target
-        first, last = target.slow_between
-        is_slow = first <= self._mesh.timers.now() < last
-        return target.slowness * (target.slows if is_slow else 1.0)
-
-    def abort(self) -> None:
-        self._is_aborted = True
-        if self._scope is not None:
-            self._scope.cancel()
-
-    def close(self) -> None:
-        if self._slot is not None:
-            self._there.busy += self._mesh.timers.now() - self._slot.since
-            self._slot.release()
-            self._slot = None
-
-    async def wait_admitted(self) -> NotRun | None:
-        return None
-
-    async def send_part(self, data: bytes) -> None:
-        raise NotImplementedError
-
-    async def finish(self, trailers: Headers) -> None:
-        raise NotImplementedError
-
-    async def next_part(self) -> BodyPart | End:
-        return End()
-
-
 def _router(load: Load) -> Router:
     resources: list[Any] = [
         Service(name=name, queue_length=200, warm_up_s=0.0)
@@ -391,7 +237,7 @@
         nonlocal outcome
         timers = LoopTimers(asyncio.get_running_loop())
         async with anyio.create_task_group() as tasks:
-            mesh = _Mesh(load, seed, timers, tasks)
+            mesh = Mesh(load, seed, timers, tasks)
             for kind in load.classes:
                 if kind.rate:
                     tasks.start_soon(mesh.arrivals, kind)
