--- a/packages/calls/src/acaciayard_calls/_suspects.py
+++ b/packages/calls/src/acaciayard_calls/_suspects.py
@@ -39,8 +39,8 @@
 #: Targets that must have ended under a call, one after the other, before it is barred.  The first
 #: may have had any of its calls as the cause; at the second and the third this one was the only
 #: suspect, so that two ends for another reason at just those moments would be needed to bar a good
-#: call.  In 84 modelled runs with 13 hosts, half of whose calls ask for one of five things, that
-#: happened to none of some 130,000 good calls.
+#: call.  In 72 modelled runs with 13 hosts, half and more of whose calls ask for one of five
+#: things, that happened to none of some 115,000 good calls.
 ENDS_TO_BAR: Final = 3
 #: Seconds for which a suspect is remembered that does not come again.
 _SUSPECT_FOR: Final = 600.0
