--- a/packages/calls/src/acaciayard_calls/_call_run.py
+++ b/packages/calls/src/acaciayard_calls/_call_run.py
@@ -124,8 +124,8 @@
         last: Answered | NotRun | OutcomeUnknown = no_target(self._plan)
         while True:
             self._suspicion = self._suspects.of(self._call)
-            if self._suspicion is not None and self._suspects.is_barred(self._suspicion):
-                refusal = self._suspects.refusal(self._suspicion)
+            refusal = self._suspects.refusal_of(self._suspicion)
+            if refusal is not None:
                 return refusal if isinstance(last, NotRun) else last
             offer = self._next_offer()
             if offer is None:
--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -22,7 +22,7 @@
 from ._answers import AnswerWriter
 from ._attempt import Answered, Attempt
 from ._call import LARGEST_WHOLE_BODY, Answer, Call, CallWatch, NotRun, OutcomeUnknown
-from ._claimer import Claimed, Claimer, Taken
+from ._claimer import Claimed, Claimer, Taken, kept_of
 from ._events import CallEnded
 from ._fingerprints import fingerprint_of
 from ._intake import (
@@ -47,8 +47,6 @@
 #: read the answer.
 _LINGER: Final = 1.0
 _LINGER_BYTES: Final = 4 * 1024 * 1024
-#: Largest answer that is kept for callers that repeat a call with a key.
-_LARGEST_KEPT: Final = 256 * 1024
 
 
 class CallerConnection:
@@ -328,7 +326,7 @@
             outcome = await self._context.dispatcher.run(
                 call, plan, router, CallWatch(), may_retry=False
             )
-            kept = _kept_of(outcome)
+            kept = kept_of(outcome)
         finally:
             claimer.finish(claimed, kept)
         return await self._finish(head, plan, outcome)
@@ -392,14 +390,3 @@
                         return
             except StreamLostError:
                 return
-
-
-def _kept_of(outcome: Answered | NotRun | OutcomeUnknown) -> Answer | NotRun | None:
-    """What is kept for callers that repeat a call, `None` when nobody can tell how it ended."""
-    match outcome:
-        case Answered(answer) if answer.is_whole and len(answer.body) <= _LARGEST_KEPT:
-            return answer
-        case NotRun():
-            return outcome
-        case _:
-            return None
--- a/packages/calls/src/acaciayard_calls/_claimer.py
+++ b/packages/calls/src/acaciayard_calls/_claimer.py
@@ -23,7 +23,8 @@
     StreamLostError,
 )
 
-from ._call import Answer, NotRun
+from ._attempt import Answered
+from ._call import Answer, NotRun, OutcomeUnknown
 from ._claims import ClaimHome
 from ._messages import (
     ClaimAnswer,
@@ -34,7 +35,7 @@
 )
 from ._pool import StreamPool
 
-__all__ = ["AnswerStore", "Claimed", "Claimer", "Taken"]
+__all__ = ["AnswerStore", "Claimed", "Claimer", "Taken", "kept_of"]
 
 _Reply = TypeVar("_Reply", ClaimAnswer, OutcomeAnswer)
 
@@ -49,6 +50,8 @@
 #: Bytes of answers that are kept for repeated calls.
 _STORE_BYTES: Final = 4 * 1024 * 1024
 _ENTRY_OVERHEAD: Final = 500
+#: Largest answer that is kept for callers that repeat a call with a key.
+_LARGEST_KEPT: Final = 256 * 1024
 _KEY_BYTES: Final = 16
 _RETRY_AFTER: Final = 1.0
 _FREED_SOON: Final = NotRun("the call with this key has not run, its key is free soon", 1.0)
@@ -291,3 +294,14 @@
 
 def _person(scope: str) -> bytes:
     return hashlib.blake2b(scope.encode(), digest_size=_KEY_BYTES).digest()
+
+
+def kept_of(outcome: Answered | NotRun | OutcomeUnknown) -> Answer | NotRun | None:
+    """What is kept for callers that repeat a call, `None` when nobody can tell how it ended."""
+    match outcome:
+        case Answered(answer) if answer.is_whole and len(answer.body) <= _LARGEST_KEPT:
+            return answer
+        case NotRun():
+            return outcome
+        case _:
+            return None
--- a/packages/calls/src/acaciayard_calls/_dispatcher.py
+++ b/packages/calls/src/acaciayard_calls/_dispatcher.py
@@ -55,8 +55,9 @@
         suspects = self._parts.suspects
         while True:
             suspicion = suspects.of(call)
-            if suspicion is not None and suspects.is_barred(suspicion):
-                return suspects.refusal(suspicion)
+            barred = suspects.refusal_of(suspicion)
+            if barred is not None:
+                return barred
             candidate = self._candidate(suspicion, plan, router, refused)
             if candidate is None:
                 return last
--- a/packages/calls/src/acaciayard_calls/_local.py
+++ b/packages/calls/src/acaciayard_calls/_local.py
@@ -210,10 +210,9 @@
         """
         suspects = self._targets.suspects
         suspicion = suspects.of(self._call)
-        if suspicion is None:
-            return None
-        if suspects.is_barred(suspicion):
-            return suspects.refusal(suspicion)
+        refusal = suspects.refusal_of(suspicion)
+        if suspicion is None or refusal is not None:
+            return refusal
         is_beside_another = self._target is not None and self._target.has_trial
         return suspects.busy() if is_beside_another else suspicion
 
--- a/packages/calls/src/acaciayard_calls/_suspects.py
+++ b/packages/calls/src/acaciayard_calls/_suspects.py
@@ -177,6 +177,12 @@
         seconds = min(_LONGEST_BAR, _BARRED_FOR * 2.0 ** min(over, 16))
         return max(0.0, known.since + seconds - self._timers.now())
 
+    def refusal_of(self, suspicion: Suspicion | None) -> NotRun | None:
+        """The refusal of a call that is barred, `None` where it may run or have its trial."""
+        if suspicion is None or not self.is_barred(suspicion):
+            return None
+        return self.refusal(suspicion)
+
     def refusal(self, suspicion: Suspicion) -> NotRun:
         """How a barred call is refused, at once and unsent."""
         self._refused += 1
