Targets' statements in responses are read, logged and counted

What a target states beside its response, a limit of calls a second and that it is leaving, was forwarded to the caller as payload: no line and no metric told that it was stated, what the daemon believes of it, or how many calls it sends to the target meanwhile, first attempts and repeats. So the hypotheses of the incident could not be told apart. Names of the fields are decoded in one place; no decision depends on them yet.

--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -20,6 +20,7 @@
     NotRun,
     OutcomeUnknown,
     end_to_end,
+    read_notice,
 )
 from acaciayard_http1 import (
     BodyPart,
@@ -55,6 +56,8 @@
 _MAX_UNSAFE_IDLE_SECONDS: Final = 1.0
 #: Timeout for connecting to a target on this host.
 _CONNECT_TIMEOUT_SECONDS: Final = 0.25
+#: Status of a response from another server, at the address that the target had before.
+_MISDIRECTED: Final = 421
 _ABORTED_REFUSAL: Final = NotRun("the call was given up before it was sent", 0.1)
 
 
@@ -271,6 +274,7 @@
         self._targets.note_running(call)
         if self._target is not None:
             self._at_work = self._target.begin(call, suspicion)
+            self._targets.note_sent(self._target, call)
         with contextlib.suppress(StreamLostError):  # waiting for the answer reports the loss
             self._connection.stream.send_nowait(data + call.body if call.body else data)
         return None
@@ -332,6 +336,7 @@
     async def _outcome_of(self, head: ResponseHead) -> Answer | NotRun | OutcomeUnknown:
         """Return the answer, unless it is a refusal or cannot be forwarded."""
         dialect = self._dialect
+        self._hear_notice(head)
         if dialect.not_run and first_header(head.headers, dialect.not_run):
             self._reusable = may_reuse(head, self._call)
             await self._read_whole()
@@ -341,6 +346,13 @@
         fault = fault_in(head, self._call, self._dialect)
         return OutcomeUnknown(fault) if fault else await self._answer_of(head)
 
+    def _hear_notice(self, head: ResponseHead) -> None:
+        """Record what the target states about itself beside its response."""
+        if head.status == _MISDIRECTED or self._target is None or self._at_work is None:
+            return
+        notice = read_notice(head.headers, self._dialect)
+        self._targets.hear(self._target, notice, asked_at=self._at_work.sent_at)
+
     async def _answer_of(self, head: ResponseHead) -> Answer:
         self._reusable = may_reuse(head, self._call)
         self._is_good = head.status < 500
--- a/packages/admission/src/acaciayard_admission/_target.py
+++ b/packages/admission/src/acaciayard_admission/_target.py
@@ -8,7 +8,7 @@
 import anyio
 from attrs import define, field, frozen
 
-from acaciayard_callmodel import Call
+from acaciayard_callmodel import Call, NoticeRecord
 from acaciayard_http1 import Limits, ResponseReader
 from acaciayard_membership import Suspicion, TargetState
 from acaciayard_resources import Service
@@ -97,6 +97,8 @@
     call: Call
     #: Suspicion against the call when it was sent, or `None`.
     suspicion: Suspicion | None = None
+    #: When it was sent, by the timer service.
+    sent_at: float = 0.0
 
 
 @define(eq=False)
@@ -132,6 +134,7 @@
         self._is_ended = False
         self._blamed: frozenset[RunningCall] = frozenset()
         self._is_withdrawn = False
+        self._notices = NoticeRecord()
         self.lease_until = 0.0
 
     @property
@@ -152,6 +155,11 @@
         """The gate with the slots and the queue of the target."""
         return self._gate
 
+    @property
+    def notices(self) -> NoticeRecord:
+        """What the target has stated about itself in its responses."""
+        return self._notices
+
     @property
     def at_work(self) -> tuple[RunningCall, ...]:
         """Calls that were sent to the target and have not ended."""
@@ -182,7 +190,7 @@
 
     def begin(self, call: Call, suspicion: Suspicion | None) -> RunningCall:
         """Record that a call is sent to the target; `finish` must follow."""
-        running = RunningCall(call, suspicion)
+        running = RunningCall(call, suspicion, sent_at=self._timers.now())
         self._at_work.add(running)
         return running
 
--- a/packages/admission/src/acaciayard_admission/_targets.py
+++ b/packages/admission/src/acaciayard_admission/_targets.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Final
 
-from acaciayard_callmodel import Call
+from acaciayard_callmodel import Call, TargetNotice
 from acaciayard_membership import TargetInfo, TargetState
 from acaciayard_resources import Configuration, DrainOrder, Service
 from acaciayard_timers import PauseDetector, TimerService
@@ -51,6 +52,7 @@
         self._on_event = on_event
         self._suspects = suspects or Suspects(timers=timers)
         self._ended = 0
+        self._sent: Counter[tuple[str, str]] = Counter()
         self._is_settled = is_settled
         self._lease = lease
         self._policy = policy
@@ -82,6 +84,20 @@
         """Number of targets whose process has ended while it ran calls."""
         return self._ended
 
+    @property
+    def sent(self) -> Counter[tuple[str, str]]:
+        """Number of calls sent to targets here, as `(attempt, limit)`.
+
+        `attempt` is `first` or `repeat`, and `limit` is `stated` if the target stated a limit when
+        the call was sent, otherwise `none`.
+        """
+        return self._sent
+
+    @property
+    def limited(self) -> int:
+        """Number of targets that state a limit."""
+        return sum(target.notices.notice.is_limited for target in self._targets.values())
+
     def announce(self, announcement: Announcement) -> AnnouncementResult:
         """Process an announcement, and publish the targets to the other daemons if it is accepted.
 
@@ -164,6 +180,36 @@
                 self.mark_left(other.announcement.name, born=other.announcement.born)
                 self.withdraw(other.announcement.name, "another target has its address")
 
+    def note_sent(self, target: LocalTarget, call: Call) -> None:
+        """Count a call that is sent to a target."""
+        limit = "stated" if target.notices.notice.is_limited else "none"
+        self._sent["repeat" if call.is_repeat else "first", limit] += 1
+
+    def hear(self, target: LocalTarget, notice: TargetNotice, *, asked_at: float) -> None:
+        """Record what a target states about itself in a response.
+
+        `asked_at` is when the request of the response was sent, by the timer service.
+        """
+        before = target.notices.notice
+        is_new_fault = target.notices.note_fault(notice.fault)
+        if is_new_fault:
+            self._emit(target.announcement, "limit_unreadable", notice.fault)
+        if not target.notices.hear(notice, asked_at=asked_at, now=self._timers.now()):
+            return
+        now = target.notices.notice
+        if now.is_leaving and not before.is_leaving:
+            self._emit(target.announcement, "states_leaving")
+        if now.max_rate != before.max_rate:
+            self._emit_limit(target)
+
+    def _emit_limit(self, target: LocalTarget) -> None:
+        notice = target.notices.notice
+        if notice.is_limited:
+            reason = f"it takes {notice.max_rate:g} calls a second"
+            self._emit(target.announcement, "limited", reason)
+        else:
+            self._emit(target.announcement, "unlimited")
+
     def note_running(self, call: Call) -> None:
         """Record that a call runs at a target on this host."""
         if call.request_id:
--- a/packages/callmodel/src/acaciayard_callmodel/__init__.py
+++ b/packages/callmodel/src/acaciayard_callmodel/__init__.py
@@ -15,6 +15,7 @@
 from ._events import NO_EVENTS, CallEnded, CallEvents, OfferEnded, Try
 from ._fingerprints import FINGERPRINT_BYTES, fingerprint_of
 from ._header_fields import end_to_end
+from ._notices import NO_NOTICE, NoticeRecord, TargetNotice, read_notice
 
 __all__ = [
     "Answer",
@@ -29,14 +30,18 @@
     "LARGEST_WHOLE_BODY",
     "NO_CAPS",
     "NO_EVENTS",
+    "NO_NOTICE",
     "NotRun",
+    "NoticeRecord",
     "OWN_DIALECT",
     "OfferEnded",
     "OutcomeUnknown",
+    "TargetNotice",
     "Try",
     "UNCOUNTED",
     "UNKNOWN_LENGTH",
     "UsageCaps",
     "end_to_end",
     "fingerprint_of",
+    "read_notice",
 ]
--- a/packages/callmodel/src/acaciayard_callmodel/_dialect.py
+++ b/packages/callmodel/src/acaciayard_callmodel/_dialect.py
@@ -37,6 +37,10 @@
     not_run: bytes = b""
     #: Authenticates a target's response; a successful response without it is treated as corrupt.
     response_signature: bytes = b""
+    #: Calls per second that a target takes from all daemons together, stated in its responses.
+    rate_limit: bytes = b""
+    #: States that a target is leaving, in its responses.
+    leaving: bytes = b""
     #: Service of the host from which the call came; the entry overwrites the caller's value.
     origin: bytes = b""
     #: API key of the caller's workspace; checked and removed if the configuration has workspaces.
--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -44,7 +44,7 @@
 from ._eras import EraGuard
 from ._feeding import Feeding
 from ._follower import StoreFollower
-from ._gauges import GaugeSources, daemon_gauges, workspace_counts
+from ._gauges import GaugeSources, daemon_gauges, target_counts, workspace_counts
 from ._logs import BoundedLines
 from ._metrics import MetricsPage
 from ._platform import Platform
@@ -428,7 +428,7 @@
         page = MetricsPage(
             self._calls_log,
             daemon_gauges(sources),
-            workspace_counts(sources),
+            (*target_counts(sources), *workspace_counts(sources)),
             account=self._timers.account,
         )
         opened = []
--- a/packages/hosted/src/acaciayard_hosted/_gauges.py
+++ b/packages/hosted/src/acaciayard_hosted/_gauges.py
@@ -19,7 +19,7 @@
 from ._metrics import Counts, Gauge
 from ._versions import AcceptedVersions
 
-__all__ = ["GaugeSources", "daemon_gauges", "workspace_counts"]
+__all__ = ["GaugeSources", "daemon_gauges", "target_counts", "workspace_counts"]
 
 
 @frozen
@@ -86,6 +86,7 @@
             lambda: max((t.gate.workspaces_waiting for t in of.targets.all), default=0),
         ),
         Gauge("targets_ended", "Targets that ended at work so far", lambda: of.targets.ended),
+        Gauge("targets_limited", "Targets here that state a limit", lambda: of.targets.limited),
         Gauge("suspects", "Requests under suspicion", lambda: of.suspects.suspected),
         Gauge("barred", "Requests that are refused", lambda: of.suspects.barred),
         Gauge("calls_barred", "Calls refused as barred", lambda: of.suspects.refused),
@@ -121,6 +122,18 @@
     )
 
 
+def target_counts(of: GaugeSources) -> tuple[Counts, ...]:
+    """The counters of what targets here get."""
+    return (
+        Counts(
+            "target_calls",
+            "Calls sent to targets here, by attempt and by whether the target stated a limit",
+            ("attempt", "limit"),
+            lambda: of.targets.sent,
+        ),
+    )
+
+
 def workspace_counts(of: GaugeSources) -> tuple[Counts, ...]:
     """The counters by workspace, each with a bounded number of workspaces."""
     return (
