A target that states its leaving in its answers gets no more calls

Callers saw: nothing yet; this was looked for as the same cause elsewhere. A target that leaves says so in all its answers, which may be before it reports it, or without ever reporting it; calls went on to it until its report, and after a restart of the daemon beside it for as long as it reported that it was ready.

Cause: as for the limit, the statement was forwarded as payload and obeyed by nobody.

Why this works: the daemon beside the target takes the statement as a report of leaving that nothing takes back, closes its gate and publishes it at once. Every entry that has forwarded the statement keeps it by host, name and start, chooses no such target whatever the target's daemon reports, and tells it with calls to that host.

--- a/packages/admission/src/acaciayard_admission/_target_news.py
+++ b/packages/admission/src/acaciayard_admission/_target_news.py
@@ -49,7 +49,7 @@
     #: Start time of the target in Unix milliseconds; 0 if unknown.
     born: int
     #: Kind of event: `announced`, `leaving`, `withdrawn`, `passed_over`, `ended`, or for what the
-    #: target states in responses `limited`, `unlimited`, `limit_unreadable` or `states_leaving`.
+    #: target states in responses `limited`, `unlimited` or `limit_unreadable`.
     what: str
     #: Reason; empty if the kind of event says it all.
     reason: str = ""
--- a/packages/admission/src/acaciayard_admission/_targets.py
+++ b/packages/admission/src/acaciayard_admission/_targets.py
@@ -196,11 +196,7 @@
             self._emit(target.announcement, "limit_unreadable", notice.fault)
         if not target.notices.hear(notice, asked_at=asked_at, now=self._timers.now()):
             return
-        now = target.notices.notice
-        if now.is_leaving and not before.is_leaving:
-            self._emit(target.announcement, "states_leaving")
-        if now.max_rate != before.max_rate:
-            self._apply_limit(target, "it states so")
+        self._apply_notice(target, before, "it states so")
 
     def adopt(self, notices: Iterable[StartNotice]) -> None:
         """Record what another daemon has forwarded, which this one may not know.
@@ -209,10 +205,12 @@
         """
         for notice in notices:
             target = self._targets.get(notice.target)
-            if target is None or target.announcement.born != notice.born:
-                continue
-            if target.notices.adopt(notice.notice):
-                self._apply_limit(target, "another daemon was told so")
+            if target is not None and target.announcement.born == notice.born:
+                before = target.notices.notice
+                if target.notices.adopt(notice.notice):
+                    self._apply_notice(target, before, "another daemon was told so")
+            elif notice.is_leaving:
+                self.mark_left(notice.target, born=notice.born)
 
     def stated(self, target: LocalTarget) -> tuple[StartNotice, ...]:
         """Return what a target has stated so far, for the daemons that send calls to it.
@@ -228,9 +226,18 @@
                 born=announcement.born,
                 max_rate=target.notices.notice.max_rate,
                 opens_in=target.gate.opens_in,
+                is_leaving=target.notices.notice.is_leaving,
             ),
         )
 
+    def _apply_notice(self, target: LocalTarget, before: TargetNotice, source: str) -> None:
+        """Apply what a target has stated, where it differs from what applied `before`."""
+        notice = target.notices.notice
+        if notice.is_leaving and not before.is_leaving:
+            self.leave(target.announcement.name, born=target.announcement.born)
+        if notice.max_rate != before.max_rate:
+            self._apply_limit(target, source)
+
     def _apply_limit(self, target: LocalTarget, source: str) -> None:
         notice = target.notices.notice
         target.gate.limit(notice.max_rate)
--- a/packages/callmodel/src/acaciayard_callmodel/_notices.py
+++ b/packages/callmodel/src/acaciayard_callmodel/_notices.py
@@ -72,6 +72,8 @@
     max_rate: float
     #: Seconds until its limit allows another call, as of a response.
     opens_in: float = 0.0
+    #: Whether it is leaving.
+    is_leaving: bool = False
 
     def check_fields(self) -> None:
         """Raise `ValueError` for what no daemon sends."""
@@ -83,7 +85,7 @@
     @property
     def notice(self) -> TargetNotice:
         """What applies to the target."""
-        return TargetNotice(max_rate=self.max_rate)
+        return TargetNotice(max_rate=self.max_rate, is_leaving=self.is_leaving)
 
 
 class NoticeRecord:
@@ -161,10 +163,10 @@
         """
         self._has_stated = True
         before = self._notice
-        if self._is_heard or notice.max_rate >= before.max_rate:
-            return False
-        self._notice = before.with_changes(max_rate=notice.max_rate)
-        return True
+        max_rate = before.max_rate if self._is_heard else min(before.max_rate, notice.max_rate)
+        is_leaving = before.is_leaving or notice.is_leaving
+        self._notice = TargetNotice(max_rate=max_rate, is_leaving=is_leaving)
+        return self._notice != before
 
 
 def read_notice(headers: Headers, dialect: Dialect) -> TargetNotice:
--- a/packages/routing/src/acaciayard_routing/_notices.py
+++ b/packages/routing/src/acaciayard_routing/_notices.py
@@ -6,10 +6,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Final
 
+from attrs import evolve
+
 from acaciayard_callmodel import NO_NOTICE, NoticeRecord, StartNotice, TargetNotice
+from acaciayard_membership import TargetInfo, TargetState
 from acaciayard_timers import TimerService
 
 __all__ = ["ForwardedNotices"]
@@ -65,11 +68,29 @@
         if not records:
             return ()
         return tuple(
-            StartNotice(target=name, born=born, max_rate=record.notice.max_rate)
+            StartNotice(
+                target=name,
+                born=born,
+                max_rate=record.notice.max_rate,
+                is_leaving=record.notice.is_leaving,
+            )
             for (name, born), record in records.items()
         )
 
-    def notice_of(self, host: str, name: str, born: int) -> TargetNotice:
-        """Return what applies to a start of a target."""
-        record = self._by_host.get(host, {}).get((name, born))
+    def notice_of(self, host: str, target: TargetInfo) -> TargetNotice:
+        """Return what applies to a target of a host."""
+        record = self._by_host.get(host, {}).get((target.name, target.born))
         return record.notice if record is not None else NO_NOTICE
+
+    def as_stated(self, host: str, targets: Sequence[TargetInfo]) -> Sequence[TargetInfo]:
+        """Return the targets of a host, with those that state their leaving as draining."""
+        if host not in self._by_host:
+            return targets
+        return [
+            (
+                evolve(target, state=int(TargetState.DRAINING))
+                if self.notice_of(host, target).is_leaving
+                else target
+            )
+            for target in targets
+        ]
--- a/packages/routing/src/acaciayard_routing/_picker.py
+++ b/packages/routing/src/acaciayard_routing/_picker.py
@@ -91,6 +91,7 @@
     def _update(
         self, candidates: Candidates, member: Member, targets: Sequence[TargetInfo]
     ) -> None:
+        targets = self._notices.as_stated(member.host, targets)
         known = candidates.find(member.host)
         starts = frozenset((target.name, target.born) for target in targets)
         slots = sum(t.slots for t in targets if t.state < TargetState.DRAINING)
@@ -128,7 +129,7 @@
 
     def _max_rate(self, host: str, targets: Sequence[TargetInfo]) -> float:
         """Return the calls per second that targets of one host take together."""
-        return sum(self._notices.notice_of(host, t.name, t.born).max_rate for t in targets)
+        return sum(self._notices.notice_of(host, each).max_rate for each in targets)
 
     def candidate(self, service: str, host: str) -> Candidate | None:
         """Return the candidate of a host for a service, or `None` if it has no such targets."""
