--- a/packages/calls/tests/load.py
+++ b/packages/calls/tests/load.py
@@ -38,6 +38,11 @@
     #: Share of calls that the target refuses despite free slots, and the second from which it does.
     shed_share: float = 0.0
     shed_from: float = 0.0
+    #: Calls per second that the target states to take, in its responses within a time window.
+    stated_rate: float = math.inf
+    stated_window: tuple[float, float] = (0.0, math.inf)
+    #: Seconds of the run at which its daemon restarts and forgets what the target has stated.
+    daemon_restarts: tuple[float, ...] = ()
     #: Share of executed calls whose responses are lost, and the second from which they are.
     loss_share: float = 0.0
     loss_from: float = 0.0
@@ -128,6 +133,10 @@
     utilization: dict[str, float]
     #: Share of responses that came from another failure domain.
     cross_domain_share: float
+    #: Calls that each target got, as the times of their arrival and the hosts of their entries.
+    arrivals: dict[str, list[tuple[float, str]]] = field(factory=dict)
+    #: When each entry first forwarded a stated limit of each target: times by entry and target.
+    told: dict[tuple[str, str], float] = field(factory=dict)
 
     def tally_of(self, name: str) -> Tally:
         """Returns the tally of a class."""
