A connection is not reused when its target is about to close it

Callers would see: a call that must not run twice ends with an unknown outcome, or another call is repeated on the shared budget, since the target closed its idle connection at the moment of sending.

Evidence: the new test fails before (one connection for two calls 0.7 s apart, time-out of 1 s stated) and passes now. The connection is given up half a second before the stated time-out; longer time-outs than 4 s change nothing.

--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -42,7 +42,7 @@
 
 from ._gate import HeldSlot, Reservation
 from ._target import LocalTarget, RunningCall, TargetConnection
-from ._target_answers import fault_in, may_reuse, refused_by_target
+from ._target_answers import fault_in, may_reuse, refused_by_target, stated_idle_timeout
 from ._targets import LocalTargets
 
 __all__ = ["LocalExchange"]
@@ -355,7 +355,10 @@
         return OutcomeUnknown(fault) if fault else await self._answer_of(head)
 
     def _hear_notice(self, head: ResponseHead) -> None:
-        """Record what the target states about itself beside its response."""
+        """Record what the target states about itself and the connection beside its response."""
+        idle_timeout = stated_idle_timeout(head)
+        if idle_timeout is not None:
+            self._open().note_stated_timeout(idle_timeout)
         if head.status == _MISDIRECTED or self._target is None or self._at_work is None:
             return
         notice = read_notice(head.headers, self._dialect)
--- a/packages/admission/src/acaciayard_admission/_target.py
+++ b/packages/admission/src/acaciayard_admission/_target.py
@@ -31,9 +31,11 @@
 
 #: Divisor of the slots of a target that is still starting.
 _STARTING_SLOTS_DIVISOR: Final = 3
-#: Time for which an idle connection is reused.  Targets close idle connections after a timeout of
-#: their own, and a call that is sent at that moment is lost.
+#: Time for which an idle connection is reused at most.  Targets close idle connections after a
+#: timeout of their own, and a call that is sent at that moment is lost.
 _IDLE_TIMEOUT_SECONDS: Final = 4.0
+#: Time before the end of the timeout that a target states from which its connection is not reused.
+_IDLE_MARGIN_SECONDS: Final = 0.5
 #: Maximum number of idle connections to a target.
 _MAX_IDLE_CONNECTIONS: Final = 32
 #: Timeout for checking whether a target that broke off a connection still listens.
@@ -87,6 +89,12 @@
     reader: ResponseReader
     #: When the connection was last returned to the pool.
     idle_since: float = 0.0
+    #: Seconds for which it is reused then.
+    idle_timeout: float = _IDLE_TIMEOUT_SECONDS
+
+    def note_stated_timeout(self, seconds: float) -> None:
+        """Record after how many idle seconds the target states to close the connection."""
+        self.idle_timeout = min(_IDLE_TIMEOUT_SECONDS, max(0.0, seconds - _IDLE_MARGIN_SECONDS))
 
 
 @define(eq=False)
@@ -249,11 +257,7 @@
         while self._idle:
             idle = self._idle.pop()
             idle_seconds = now - idle.idle_since
-            if (
-                idle.stream.is_lost
-                or idle.stream.has_unread
-                or idle_seconds > _IDLE_TIMEOUT_SECONDS
-            ):
+            if idle.stream.is_lost or idle.stream.has_unread or idle_seconds > idle.idle_timeout:
                 idle.stream.abort()
                 continue
             if idle_seconds <= max_idle_seconds:
--- a/packages/admission/src/acaciayard_admission/_target_answers.py
+++ b/packages/admission/src/acaciayard_admission/_target_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Final
 
 from acaciayard_callmodel import Call, Dialect, NotRun
@@ -9,12 +10,13 @@
 
 from ._gate import Gate
 
-__all__ = ["fault_in", "may_reuse", "refused_by_target"]
+__all__ = ["fault_in", "may_reuse", "refused_by_target", "stated_idle_timeout"]
 
 #: Statuses that imply that a call has not run; a target must state that with the header for it.
 _NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
 #: Bytes of a request body that a target is assumed to have read with the head when it answers.
 _ASSUMED_READ_BYTES: Final = 4096
+_KEEP_ALIVE_TIMEOUT: Final = re.compile(rb"(?:^|[\s,])timeout=([0-9]{1,9})(?:$|[\s,])")
 #: Retry delay given to the caller of a call that the target itself refused.
 _REFUSED_RETRY_AFTER_SECONDS: Final = 0.02
 
@@ -44,6 +46,12 @@
     return head.keep_alive and not may_precede_body
 
 
+def stated_idle_timeout(head: ResponseHead) -> float | None:
+    """Return after how many idle seconds the target closes the connection, if it states that."""
+    match = _KEEP_ALIVE_TIMEOUT.search(first_header(head.headers, b"keep-alive"))
+    return float(match[1]) if match else None
+
+
 def fault_in(head: ResponseHead, call: Call, dialect: Dialect) -> str:
     """Return why an answer cannot be forwarded, or an empty string if it can."""
     if dialect.response_signature and head.status < 300:
--- a/packages/calls/tests/test_target_answers.py
+++ b/packages/calls/tests/test_target_answers.py
@@ -173,3 +173,24 @@
 
         self.run_target(respond, body)
         self.assertEqual(found_parents, [(True, False), (False, False)])
+
+    # Guards against a connection that is reused when its target is about to close it.
+    def test_idle_timeout_that_the_target_states(self) -> None:
+        for stated, connections in (("timeout=1", 2), ("timeout=30, max=9", 1), ("timeout=x", 1)):
+
+            async def script(head: RequestHead, stream: ByteStream, stated: str = stated) -> None:
+                await stream.send(answer(head, extra_headers=f"keep-alive: {stated}\r\n"))
+
+            async def body(
+                harness: CallHarness,
+                target: ScriptedTarget,
+                send_call: SendCall,
+                connections: int = connections,
+            ) -> None:
+                await send_call(harness.call())
+                await anyio.sleep(0.7)
+                await send_call(harness.call())
+                self.assertEqual(target.accepted_connections, connections)
+
+            with self.subTest(stated):
+                self.run_target(script, body)
