A target at whose address another one answers is withdrawn at once

Callers would see: calls that are refused, or offered once more elsewhere, for up to the lease of a target whose address has gone to another one.

Evidence: the new test fails before (the second call was sent to the same address again) and passes now. Whoever is really there is registered by its next announcement, as before.

--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -349,6 +349,8 @@
             self._reusable = may_reuse(head, self._call)
             await self._read_whole()
             assert self._target is not None
+            if head.status == _MISDIRECTED and dialect.expected_target:
+                self._targets.note_misdirected(self._target)
             return refused_by_target(head.status, self._target.gate)
         self._targets.suspects.note_success(self._call)
         fault = fault_in(head, self._call, self._dialect)
--- a/packages/admission/src/acaciayard_admission/_targets.py
+++ b/packages/admission/src/acaciayard_admission/_targets.py
@@ -281,6 +281,15 @@
         if self._targets.get(name) is target:
             self.withdraw(name, "its process has ended")
 
+    def note_misdirected(self, target: LocalTarget) -> None:
+        """Withdraw a target at whose address another one has answered.
+
+        Every further call would be refused there until the lease of the target expires.
+        """
+        name = target.announcement.name
+        if self._targets.get(name) is target:
+            self.withdraw(name, "another target answers at its address")
+
     def _emit_end(self, target: LocalTarget) -> None:
         start = target.announcement.start
         at_work = target.at_work
--- a/packages/calls/tests/test_target_answers.py
+++ b/packages/calls/tests/test_target_answers.py
@@ -194,3 +194,15 @@
 
             with self.subTest(stated):
                 self.run_target(script, body)
+
+    # Guards against calls that go on to an address at which another target answers.
+    def test_target_whose_address_another_one_has_is_withdrawn(self) -> None:
+        async def script(_head: RequestHead, stream: ByteStream) -> None:
+            await stream.send(b"HTTP/1.1 421 S\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n")
+
+        async def body(harness: CallHarness, target: ScriptedTarget, send_call: SendCall) -> None:
+            for _ in range(2):
+                self.assertIsInstance(await send_call(harness.call()), NotRun)
+            self.assertEqual(len(target.request_heads), 1)
+
+        self.run_target(script, body)
