--- a/packages/calls/tests/ablation.py
+++ b/packages/calls/tests/ablation.py
@@ -65,6 +65,10 @@
     return call.with_changes(prefers_fastest=is_full)
 
 
+def _hear_nothing(_self: Picker, *_: Any, **__: Any) -> None:
+    return
+
+
 def _refuse_with_short_delay(status: int, _gate: Gate) -> NotRun:
     return NotRun(f"refused with {status}", 0.05, is_overload=True, is_by_target=True)
 
@@ -92,6 +96,9 @@
     Mechanism(
         "choice by expected time", lambda: mock.patch.object(Picker, "_best_of_sample", _choose_any)
     ),
+    Mechanism(
+        "stated limits known to entries", lambda: mock.patch.object(Picker, "hear", _hear_nothing)
+    ),
     Mechanism("own failure domain first", lambda: mock.patch.object(Picker, "_pool", _all_usable)),
     Mechanism("ejection", lambda: mock.patch.object(picker, "_FAILURES_TO_EJECT", 10**9)),
     Mechanism(
@@ -123,6 +130,7 @@
             mesh_load(5, share=0.75, seconds=4.0), 3, loss_share=0.4, loss_from=1.0
         ),
         "second": with_few_slots(mesh_load(5, share=0.9, seconds=4.0)),
+        "limited": with_targets(mesh_load(5, share=0.9, seconds=4.0), 2, stated_rate=5.0),
         "slow": with_slow_target(mesh_load(5, share=0.9, seconds=4.0)),
     }
 
