A statement counts for the registered target of the same start

Found by reading the change again. The new test fails before (the limit went to the target that was no longer registered) and passes now.

--- a/packages/admission/src/acaciayard_admission/_targets.py
+++ b/packages/admission/src/acaciayard_admission/_targets.py
@@ -190,9 +190,9 @@
 
         `asked_at` is when the request of the response was sent, by the timer service.
         """
+        target = self._registered(target)
         before = target.notices.notice
-        is_new_fault = target.notices.note_fault(notice.fault)
-        if is_new_fault:
+        if target.notices.note_fault(notice.fault):
             self._emit(target.announcement, "limit_unreadable", notice.fault)
         if not target.notices.hear(notice, asked_at=asked_at, now=self._timers.now()):
             return
@@ -217,6 +217,7 @@
 
         Once it has stated anything, they are told also that it no longer applies.
         """
+        target = self._registered(target)
         if not target.notices.has_stated:
             return ()
         announcement = target.announcement
@@ -230,6 +231,11 @@
             ),
         )
 
+    def _registered(self, target: LocalTarget) -> LocalTarget:
+        """Return the registered target of the same start, which may have been lost and found."""
+        found = self._targets.get(target.announcement.name, target)
+        return found if found.announcement.start == target.announcement.start else target
+
     def _apply_notice(self, target: LocalTarget, before: TargetNotice, source: str) -> None:
         """Apply what a target has stated, where it differs from what applied `before`."""
         notice = target.notices.notice
--- a/packages/calls/tests/test_target_notices.py
+++ b/packages/calls/tests/test_target_notices.py
@@ -95,6 +95,17 @@
         self.targets.adopt([forwarded(rate=2.0)])
         self.assertEqual(self.max_rate(), 2.0)
 
+    # Guards against a limit that a call brings which began before the target was lost and found.
+    def test_response_counts_for_the_target_that_was_found_again(self) -> None:
+        lost = self.targets.pick("a")
+        assert lost is not None
+        self.targets.withdraw("t1", "the target no longer announces itself")
+        self.targets.announce(announcement(sequence=2))
+        self.hear(NO_NOTICE)
+        self.targets.hear(lost, LIMITED, asked_at=0.0)
+        self.assertEqual(self.max_rate(), 2.0)
+        self.assertEqual([n.max_rate for n in self.targets.stated(lost)], [2.0])
+
     def test_target_itself_is_believed_rather_than_other_daemons(self) -> None:
         self.hear(NO_NOTICE)
         self.targets.adopt([forwarded(rate=2.0)])
