--- a/packages/calls/src/acaciayard_calls/_losses.py
+++ b/packages/calls/src/acaciayard_calls/_losses.py
@@ -28,7 +28,7 @@
     LATE_IN_TURN = "late_in_turn"
     #: Answered late by the first host that accepted it, after a long wait or run.
     LATE_AT_TARGET = "late_at_target"
-    #: Refused because no host had a free slot in time.
+    #: Refused because no host had a free slot, or a turn at a stated limit, in time.
     NO_SLOT = "no_slot"
     #: Refused by the target itself.
     BY_TARGET = "by_target"
--- a/packages/cli/src/acaciayard_cli/_explain.py
+++ b/packages/cli/src/acaciayard_cli/_explain.py
@@ -129,7 +129,9 @@
     if not tries:
         return "no host was asked"
     full = sum("for a slot" in each.outcome for each in tries)
-    return f"{len(tries)} hosts were asked, {full} had no slot in time"
+    limited = sum("for a turn at" in each.outcome for each in tries)
+    text = f"{len(tries)} hosts were asked, {full} had no slot in time"
+    return f"{text}, {limited} kept to a limit that their target states" if limited else text
 
 
 def _failed_calls(request: str, own: list[LogLine]) -> str:
--- a/packages/cli/tests/test_explain.py
+++ b/packages/cli/tests/test_explain.py
@@ -18,6 +18,7 @@
 time=2026-01-01T00:00:02Z level=info event=offer_ended host=h3 request=r1 service=a outcome=not_run reason="the target drains" load=1.7 ms=0.0
 time=2026-01-01T00:00:04Z level=info event=call_ended host=h1 request=r2 route=r service=a version=6 outcome=unknown status=504 reason="the target gave no whole answer: \"cut\"" ms=381.2 tries="h2 381.2ms unknown: the target gave no whole answer"
 time=2026-01-01T00:00:05Z level=info event=call_ended host=h1 request=r3 route=r service=a version=6 outcome=answered status=200 ms=191.5 tries="h2 188.1ms unknown: another host answered first; h3 68.6ms answer 200"
+time=2026-01-01T00:00:04Z level=info event=call_ended host=h1 request=r5 route=r service=a version=6 outcome=not_run status=503 reason="it would wait 0.292 s for a turn at 2.7 calls a second, and 0.100 s are worth waiting" retry_after_s=0.292 ms=3.1 tries="h2 0.5ms refused: it would wait 0.292 s for a turn at 2.7 calls a second, and 0.100 s are worth waiting; h3 0.2ms refused: it would wait 0.058 s for a slot, and 0.050 s are worth waiting"
 time=2026-01-01T00:00:06Z level=info event=call_ended host=h2 request=r4.1 route=q service=b version=6 outcome=not_run status=503 reason="9 calls wait already" ms=0.2
 time=2026-01-01T00:00:07Z level=info event=call_ended host=h1 request=r4 route=r service=a version=6 outcome=answered status=500 ms=80.0 tries="h2 80ms answer 500"
 time=2026-01-01T00:00:01Z level=warning event=store_lost host=h2 reason="no answer" version=6 lines_dropped_before=12
@@ -43,6 +44,7 @@
             ("r2", ("unknown outcome", "sent to h2", '"cut"')),
             ("r3", ("answered 200", "2 tries", "188.1 ms at h2")),
             ("r4", ("answered 500", "to b failed: 9 calls wait already")),
+            ("r5", ("1 had no slot in time, 1 kept to a limit", "come back in 0.292 s")),
             ("r9", ("no line tells of this request",)),
         ):
             with self.subTest(request=request):
