Held orders: a log line says why one is dropped

A daemon holds an order that it reads in a new era of the store until it knows whether the order is older than the one it knows. What it then did with the order was logged only where it began it. Two hypotheses on daemons that disagree on a rollout for ever (the order was never read, or it was read and dropped) could not be told apart from the logs; rollout_order_dropped names the order and the reason.

--- a/packages/rollouts/src/acaciayard_rollouts/_held_orders.py
+++ b/packages/rollouts/src/acaciayard_rollouts/_held_orders.py
@@ -6,7 +6,7 @@
 
 from attrs import frozen
 
-from acaciayard_logservice import era_of
+from acaciayard_logservice import era_of, offset_of
 from acaciayard_timers import TimerService
 
 from ._book import ORDER_HOLD_SECONDS, RolloutBook
@@ -82,6 +82,7 @@
             known = self._book.find(service)
             if known is not None and known.order >= held.order.order:
                 del self._held[service]
+                self._note_dropped(held.order, "an order at this position or a later one is known")
             elif known is None or not self.may_be_older(held.order, known):
                 del self._held[service]
                 self._begin(held.order, known, self._timers.now() - held.since)
@@ -103,3 +104,20 @@
             status = found.status
             if status is None or not status.is_about(rollout_of(held.order)):
                 self._begin(held.order, self._book.find(service), age)
+            else:
+                era, offset = era_of(status.order), offset_of(status.order)
+                self._note_dropped(
+                    held.order, f"the store has its status, of the order at {offset} in era {era}"
+                )
+
+    def _note_dropped(self, order: RolloutOrder, reason: str) -> None:
+        self._note(
+            "rollout_order_dropped",
+            {
+                "service": order.service,
+                "version": order.version,
+                "order": offset_of(order.order),
+                "era": era_of(order.order) or None,
+                "reason": reason,
+            },
+        )
