An order is not dropped for the status of a daemon that began it without state

Callers saw: on four of six hosts every call to the service was refused, with "this daemon has no word of the rollout of the service", until the next order.

Cause: a leader that reads an order in a new era of the store holds it for 4 s, since the store may show an order older than the known one. At the end it dropped the order if the store had any status of it, taking that for a proof that the order had been begun before the known one. A daemon without state, which has started and reached no other yet, takes the order up at once and writes such a status. The leader that dropped the order then led daemons that had begun it: they are told of rollouts by the leader alone, which told them of the order before, and their leases ran out.

Evidence: the sequence of the new FoundTest, which fails each time in rollouts_agree.

Fix: a status proves an order older only if its position is before the known order's in the same era; of positions of two eras the later one wins, as it does between daemons. So the leader joins those that have begun the order. This also holds for an order and its status that both lie after the known order in the copy, which were dropped as well.

The tests failed before: test_order_that_a_leader_without_state_has_begun_is_not_dropped (both cases), test_status_is_compared_with_the_position_of_its_own_era (one of two), FoundTest.test_order_is_not_dropped_for_the_status_of_a_daemon_without_state.

--- a/packages/hosted/tests/test_store_rewinds.py
+++ b/packages/hosted/tests/test_store_rewinds.py
@@ -342,6 +342,25 @@
         machine.some_are_killed(hosts=set())
         machine.teardown()
 
+    def test_order_is_not_dropped_for_the_status_of_a_daemon_without_state(self) -> None:
+        """The daemons that had dropped it led those that had begun it, which then heard nothing."""
+        machine = self.machine
+        machine.starts_up(ordered=1, is_lost=False)
+        machine.comes_back_older(age=5.0, late=False)
+        machine.orders()
+        machine.some_are_out_of_reach(hosts={0, 1, 3}, is_cut=False)
+        machine.comes_back_older(age=0.0, late=True)
+        machine.some_are_out_of_reach(hosts={2, 5}, is_cut=False)
+        machine.comes_back_older(age=0.0, late=True)
+        machine.comes_back_older(age=5.0, late=True)
+        machine.comes_back_older(age=1.0, late=True)
+        machine.comes_back_older(age=1.0, late=False)
+        machine.orders()
+        machine.some_are_killed(hosts=set())
+        machine.some_are_killed(hosts={0, 3})
+        machine.some_are_killed(hosts={2, 5})
+        machine.teardown()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/rollouts/src/acaciayard_rollouts/_held_orders.py
+++ b/packages/rollouts/src/acaciayard_rollouts/_held_orders.py
@@ -11,7 +11,7 @@
 
 from ._book import ORDER_HOLD_SECONDS, RolloutBook
 from ._fleet import Fleet
-from ._orders import RolloutOrder, StatusLost, StatusStore, rollout_of
+from ._orders import RolloutOrder, RolloutStatus, StatusLost, StatusStore, rollout_of
 from ._states import Rollout
 
 __all__ = ["HeldOrders"]
@@ -88,10 +88,9 @@
                 self._begin(held.order, known, self._timers.now() - held.since)
 
     async def release(self) -> None:
-        """Begin orders that were held long enough, unless the store has a status of them.
+        """Begin orders that were held long enough, unless a status shows that they are older.
 
-        An order that has a status was given before the known one. Only the leading daemon begins an
-        order; the others learn of it through updates.
+        Only the leading daemon begins an order; the others learn of it through updates.
         """
         for service, held in list(self._held.items()):
             age = self._timers.now() - held.since
@@ -101,14 +100,24 @@
             if isinstance(found, StatusLost) or self._held.get(service) is not held:
                 continue
             del self._held[service]
-            status = found.status
-            if status is None or not status.is_about(rollout_of(held.order)):
-                self._begin(held.order, self._book.find(service), age)
+            known = self._book.find(service)
+            if known is not None and self._is_older(held.order, known, found.status):
+                self._note_dropped(held.order, "a status shows that it was given before")
             else:
-                era, offset = era_of(status.order), offset_of(status.order)
-                self._note_dropped(
-                    held.order, f"the store has its status, of the order at {offset} in era {era}"
-                )
+                self._begin(held.order, known, age)
+
+    def _is_older(self, order: RolloutOrder, known: Rollout, status: RolloutStatus | None) -> bool:
+        """Whether a status shows that an order was begun before the known one.
+
+        Another daemon, which may not have known any order, may have begun it since. Only positions
+        of one era tell which order came first; of the positions of two eras, the later one wins, as
+        it does when daemons exchange what they know.
+        """
+        if status is None or not status.is_about(rollout_of(order)):
+            return False
+        positions = self._book.former_positions(known.service, known.order) | {known.order}
+        comparable = [each for each in positions if era_of(each) == era_of(status.order)]
+        return status.order < max(comparable, default=known.order)
 
     def _note_dropped(self, order: RolloutOrder, reason: str) -> None:
         self._note(
--- a/packages/rollouts/tests/test_written_again.py
+++ b/packages/rollouts/tests/test_written_again.py
@@ -213,6 +213,35 @@
         self.settle()
         self.assertEqual((self.now.version, self.now.phase), ("v2", Phase.SUCCEEDED))
 
+    def test_order_that_a_leader_without_state_has_begun_is_not_dropped(self) -> None:
+        """Dropping it for that leader's status left daemons on different orders for ever."""
+        for known_at, status_at in ((at(1, 17), at(2, 5)), (at(1, 4), at(1, 5))):
+            with self.subTest(known=known_at, status=status_at):
+                self.setUp()
+                told = Rollout(SERVICE, "v2", "v1", known_at, 14.0, phase=int(Phase.ROLLED_BACK))
+                self.book.merge([told], source="member")
+                self.store.era = 2
+                self.store.written.append(RolloutStatus(SERVICE, "v3", Phase.RUNNING, status_at))
+                self.conductor.take_order(order(at(2, 5), "v3"))
+                self.clock.move(4.5)
+                self.settle()
+                self.assertEqual((self.now.version, self.now.order), ("v3", at(2, 5)))
+
+    def test_status_is_compared_with_the_position_of_its_own_era(self) -> None:
+        """The known order has moved, so that its position says nothing of the era before."""
+        known = Rollout(SERVICE, "v2", "v1", at(1, 4), 14.0, phase=int(Phase.ROLLED_BACK))
+        for status_at, version in ((at(1, 5), "v3"), (at(1, 3), "v2")):
+            with self.subTest(status=status_at):
+                self.setUp()
+                self.book.merge([known], source="member")
+                self.book.merge([known.with_changes(order=at(2, 4))], source="member")
+                self.store.era = 3
+                self.store.written.append(RolloutStatus(SERVICE, "v3", Phase.RUNNING, status_at))
+                self.conductor.take_order(order(at(3, status_at - at(1, 0)), "v3"))
+                self.clock.move(4.5)
+                self.settle()
+                self.assertEqual(self.now.version, version)
+
     def test_new_order_of_the_new_era_begins_with_its_age(self) -> None:
         self.conductor.take_order(order(at(1, 17)))
         self.end(Phase.SUCCEEDED)
