Each lead checks the list of hosts, whether or not it saw the store restored

Callers saw: nothing at once. A host that starts later finds fewer daemons in the list, and none if the listed ones that are left have all lost their entries; it then has no configuration from them and refuses calls until it finds one.

Cause: the duty to look for lost entries was kept by the daemons that had noticed the restore, that is, by the readers at that moment. Only the lead acts on it. A daemon that starts after the restore and leads never had the duty, and the daemons that had it do not lead.

Evidence: in the listed sequence (KNOWN-RED: starts_up(ordered=0, is_lost=True), ten times is_copied, some_are_killed(hosts={3, 4}), ...) h0 and h2 log store_came_back, h4, started after that, leads, and no daemon logs directory_checked until the end.

Fix: the check follows from what the lead has seen and not from an event. It reads the list while the entry of a listed member has not been seen in the present era of the store, so a new lead checks once, and members that come back from behind a partition are checked too. The limit of four checks is gone, for which an entry could stay lost for good; the interval doubles up to 8 s instead.

FoundTest.test_lost_entries_are_written_again_if_the_lead_was_not_told_of_the_restore plays the sequence and failed before; its check is the state machine's.

--- a/packages/hosted/src/acaciayard_hosted/_directory.py
+++ b/packages/hosted/src/acaciayard_hosted/_directory.py
@@ -67,12 +67,10 @@
 _FIRST_START_SPREAD: Final = 0.5
 #: Mean seconds between two attempts to write the own entry.
 _PUT_RETRY_INTERVAL: Final = 0.5
-#: Checks of the list after the store was restored from an older copy. The datagram that tells a
-#: daemon of its lost entry may itself be lost, and so may the write that follows; gossip finds the
-#: daemons that are still missing after the last check.
-_MAX_CHECKS: Final = 4
-#: Seconds between two of these checks.
-_CHECK_INTERVAL: Final = 2.0
+#: First and longest interval, in seconds, between two checks of the list by the lead daemon. The
+#: interval doubles while an entry stays missing: the datagram that tells a daemon of its lost entry
+#: may itself be lost, and the store may not answer that daemon for minutes.
+_CHECK_INTERVALS: Final = (2.0, 8.0)
 
 
 @frozen(order=True)
@@ -122,8 +120,11 @@
     the place of those that leave. A daemon that finds no other lists itself, whatever others did.
 
     After the store was restored from an older copy, entries that member records announce may be
-    missing. The lead daemon reads the list and notifies the daemons whose entries are missing; each
-    writes its own again. So a starting daemon finds the mesh, and one entry costs one write.
+    missing. The lead daemon reads the list until it has found the entries of all listed members in
+    the present era of the store, and notifies the daemons whose entries are missing; each writes
+    its own again. So a starting daemon finds the mesh, and one entry costs one write. Each new lead
+    checks for itself, since it may not have noticed that the store was restored, and the daemon
+    that did may be gone.
     """
 
     def __init__(
@@ -156,10 +157,10 @@
         self._port = port
         self._leads = leads
         self._is_entry_lost = False
-        #: Whether the store was restored from another copy since the list was last found complete.
-        self._needs_check = False
+        #: Entries that this daemon has seen in the present era of the store, by host.
+        self._found: dict[str, str] = {}
         self._checks = 0
-        self._next_check_at = 0.0
+        self._next_check_at = timers.now() + _CHECK_INTERVALS[0]
         members.on_unknown_sender(self._on_stranger)
         if port is not None:
             port.on_datagram(EntryLost, self._on_entry_lost)
@@ -249,8 +250,8 @@
     # --- a store restored from an older copy --------------------------------------------------
 
     def note_era(self, _change: EraChange) -> None:
-        """Schedule checks of the list: the store was restored from a copy that may lack entries."""
-        self._needs_check = True
+        """Check the list again: the store was restored from a copy that may lack entries."""
+        self._found.clear()
         self._checks = 0
         self._next_check_at = self._timers.now()
 
@@ -262,25 +263,34 @@
 
     async def _check_list(self) -> None:
         """If this daemon leads, have daemons rewrite entries that the store has lost."""
-        if not self._needs_check or not self._leads() or self._timers.now() < self._next_check_at:
+        if not self._leads() or self._timers.now() < self._next_check_at or not self._unseen():
             return
-        found = await self._store.newest(STREAM)
-        if isinstance(found, Unavailable):
-            self._log.warning("directory_not_read", reason=found.reason)
+        result = await self._store.newest(STREAM)
+        if isinstance(result, Unavailable):
+            self._log.warning("directory_not_read", reason=result.reason)
             return
-        self._checks += 1
-        self._next_check_at = self._timers.now() + _CHECK_INTERVAL
-        lost = [member for member in self._listed() if not _has_entry(found.records, member)]
+        self._found = {
+            member.host: _entry_of(member)
+            for member in self._listed()
+            if _has_entry(result.records, member)
+        }
+        lost = self._unseen()
         for member in lost:
             if member.host == self._members.table.own.host:
                 self._is_entry_lost = True
             elif self._port is not None:
                 self._port.send_datagram(EntryLost(member.host), member.control)
+        self._checks = self._checks + 1 if lost else 0
+        first, longest = _CHECK_INTERVALS
+        interval = min(longest, first * 2 ** max(0, self._checks - 1))
+        self._next_check_at = self._timers.now() + interval
         self._log.info(
-            "directory_checked", era=era_of(found.next_offset), lost=len(lost), look=self._checks
+            "directory_checked", era=era_of(result.next_offset), lost=len(lost), look=self._checks
         )
-        if not lost or self._checks >= _MAX_CHECKS:
-            self._needs_check = False
+
+    def _unseen(self) -> list[Member]:
+        """Listed members whose entries were not seen in the present era of the store."""
+        return [m for m in self._listed() if self._found.get(m.host) != _entry_of(m)]
 
     def _listed(self) -> list[Member]:
         return [member for member in self._members.table.present() if member.is_listed]
--- a/packages/hosted/tests/test_store_rewinds.py
+++ b/packages/hosted/tests/test_store_rewinds.py
@@ -361,6 +361,17 @@
         machine.some_are_killed(hosts={2, 5})
         machine.teardown()
 
+    def test_lost_entries_are_written_again_if_the_lead_was_not_told_of_the_restore(self) -> None:
+        """Only the reader that had noticed it checked the list, and did not lead."""
+        machine = self.machine
+        machine.starts_up(ordered=0, is_lost=True)
+        for _ in range(10):
+            machine.is_copied()
+        machine.some_are_killed(hosts={3, 4})
+        for _ in range(2):
+            machine.is_copied()
+        machine.teardown()
+
 
 if __name__ == "__main__":
     unittest.main()
