A reader takes over a position only if it knows the rollout orders before it

Callers saw: an operator's order, acknowledged by the store, is never carried out on any host; or four of six daemons that know it have no leader that does, and refuse every call to the service once their leases have run out.

Cause: versions travel between daemons with the position from which to read the store on, which spares a new reader the whole document. The orders before that position do not travel with them: the lead alone tells of rollouts. When the daemon that had read an order was killed before it told of it, or while it held the order in case it was an older one, its version and position lived on, and the next lead read on behind the order. Daemons that do know it are not heard, since a lead that does not know an order ignores reports on it.

Fix: a position is announced together with the position of the newest order that its reader knew or held. Whoever does not know one as new reads the newest records once in place of using the position. This costs a read of the document in this case only. Messages of older daemons have no such field and are used as before. The mesh of the tests is wired as the product's.

--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -253,6 +253,7 @@
             seed=self._random,
             log=self._log,
             on_record=rollouts.take_record,
+            newest_order=lambda: rollouts.newest_order,
         )
 
         def note_met() -> None:
--- a/packages/hosted/src/acaciayard_hosted/_follower.py
+++ b/packages/hosted/src/acaciayard_hosted/_follower.py
@@ -86,6 +86,7 @@
         seed: random.Random,
         log: structlog.typing.FilteringBoundLogger,
         on_record: Callable[[KeyedRecord], None] = lambda _record: None,
+        newest_order: Callable[[], int] = lambda: 0,
     ) -> None:
         self._store = store
         self._place = place
@@ -99,6 +100,7 @@
         self._answers_in_a_row = _ANSWERS_TO_TRUST
         self._own_next_offset: int | None = None
         self._on_record = on_record
+        self._newest_order = newest_order
 
     @property
     def is_lost(self) -> bool:
@@ -109,7 +111,8 @@
         """Follow the store; never returns."""
         while True:
             await self._wait_until_needed()
-            if self._own_next_offset is None and not self._has_offset:
+            if self._next_offset() is None:
+                self._note_unused_position()
                 await self._read_newest()
             else:
                 await self._follow()
@@ -124,24 +127,38 @@
             return
         await self._feeding.wait_until_feeder()
 
-    @property
-    def _has_offset(self) -> bool:
-        """Whether the version in force came with a position to continue reading from."""
+    def _announced_offset(self) -> int | None:
+        """The position that was sent with the version in force, `None` if it is of no use.
+
+        Reading on from a position skips the rollout orders before it. So it is used only by a
+        daemon that knows them: the daemon that has read them may be gone and have told nobody.
+        """
         newest = self._versions.newest
-        return newest is not None and newest.offset >= 0
+        if newest is None or newest.offset < 0 or newest.newest_order > self._newest_order():
+            return None
+        return newest.offset
 
-    def _next_offset(self) -> int:
+    def _next_offset(self) -> int | None:
         """The position to continue from: the later of the own one and the one sent with a version.
 
         A position of another era that was sent with a version is ignored in favour of the own one.
+        `None` if neither is known; then the newest records are read.
         """
-        newest = self._versions.newest
-        announced = newest.offset if newest is not None else 0
-        own = self._own_next_offset
-        if own is None:
-            return announced
+        own, announced = self._own_next_offset, self._announced_offset()
+        if own is None or announced is None:
+            return announced if own is None else own
         return max(own, announced) if era_of(own) == era_of(announced) else own
 
+    def _note_unused_position(self) -> None:
+        newest = self._versions.newest
+        if newest is not None and newest.offset >= 0:
+            self._log.info(
+                "store_position_not_used",
+                version=self._versions.version,
+                order=offset_of(newest.newest_order),
+                known_order=offset_of(self._newest_order()),
+            )
+
     async def _read_newest(self) -> None:
         """Read the newest records and the position to continue from."""
         match await self._store.newest(self._place.stream):
@@ -153,9 +170,11 @@
                 await self._on_unavailable(reason)
 
     async def _follow(self) -> None:
-        """Poll the store until another daemon is the feeder."""
+        """Poll the store until another daemon is the feeder, or no position is known."""
         while self._feeding.is_feeder:
             start = self._next_offset()
+            if start is None:
+                return
             match await self._poll(start):
                 case None:
                     continue
@@ -207,7 +226,11 @@
         if not values:
             return False
         return self._versions.offer(
-            values[-1], source="store", offset=found.next_offset, is_first_hand=True
+            values[-1],
+            source="store",
+            offset=found.next_offset,
+            is_first_hand=True,
+            newest_order=self._newest_order(),
         )
 
     def _on_answer(self) -> None:
--- a/packages/hosted/src/acaciayard_hosted/_relay.py
+++ b/packages/hosted/src/acaciayard_hosted/_relay.py
@@ -65,6 +65,8 @@
     digest: bytes
     #: Position from which to continue reading the store, negative if unknown.
     offset: int
+    #: Position of the newest rollout order that may precede `offset`, 0 if there is none.
+    newest_order: int = 0
 
 
 @frozen
@@ -81,6 +83,8 @@
     digest: bytes
     #: Position from which to continue reading the store, negative if unknown.
     offset: int
+    #: Position of the newest rollout order that may precede `offset`, 0 if there is none.
+    newest_order: int = 0
 
 
 RELAY_MESSAGES: Final[dict[int, type]] = {
@@ -145,16 +149,21 @@
         """Build the push for a version; its delta is empty if too large for one datagram."""
         version = now.configuration.version
         if before is None:
-            return VersionPush(version, _NO_BASE, b"", digest_of(now.document), now.offset)
+            digest = digest_of(now.document)
+            return VersionPush(version, _NO_BASE, b"", digest, now.offset, now.newest_order)
         reply = self._make_reply(before.configuration.version)
         delta = reply.delta if len(reply.delta) <= _MAX_PUSH_BYTES else b""
-        return VersionPush(version, reply.base, delta, reply.digest, reply.offset)
+        return VersionPush(
+            version, reply.base, delta, reply.digest, reply.offset, reply.newest_order
+        )
 
     def _on_push(self, push: VersionPush, sender: Address) -> None:
         if push.version <= self._versions.version:
             return
         if push.delta and push.base == self._versions.version:
-            reply = VersionReply(push.version, push.base, push.delta, push.digest, push.offset)
+            reply = VersionReply(
+                push.version, push.base, push.delta, push.digest, push.offset, push.newest_order
+            )
             if self._accept_reply(reply, sender):
                 return
         for member in self._members.table.others():
@@ -175,7 +184,12 @@
             else:
                 delta = make_delta(self._documents[reply_base], document)
             reply = VersionReply(
-                newest.configuration.version, reply_base, delta, digest_of(document), newest.offset
+                newest.configuration.version,
+                reply_base,
+                delta,
+                digest_of(document),
+                newest.offset,
+                newest.newest_order,
             )
             self._replies[reply_base] = reply
         return reply
@@ -247,7 +261,11 @@
         if document is None:
             return False
         return self._versions.offer(
-            document, source=f"peer {address.ip}", version=reply.version, offset=reply.offset
+            document,
+            source=f"peer {address.ip}",
+            version=reply.version,
+            offset=reply.offset,
+            newest_order=reply.newest_order,
         )
 
     def _decode_document(self, reply: VersionReply, address: Address) -> bytes | None:
--- a/packages/hosted/src/acaciayard_hosted/_rollouts.py
+++ b/packages/hosted/src/acaciayard_hosted/_rollouts.py
@@ -139,6 +139,11 @@
         port.on_datagram(RolloutReport, lambda report, _sender: self._on_report(report))
         port.on_datagram(RolloutQuery, lambda _ask, sender: self._tell([sender]))
 
+    @property
+    def newest_order(self) -> int:
+        """Position of the newest order that this daemon knows or holds, 0 if there is none."""
+        return self._conductor.newest_order
+
     # --- members ------------------------------------------------------------------------------
 
     def _present(self) -> frozenset[MemberStart]:
--- a/packages/hosted/src/acaciayard_hosted/_versions.py
+++ b/packages/hosted/src/acaciayard_hosted/_versions.py
@@ -61,6 +61,8 @@
     offset: int = -1
     #: Whether this daemon read it from the store itself, so that others may not have it yet.
     is_first_hand: bool = False
+    #: Position of the newest rollout order that may precede `offset`, 0 if there is none.
+    newest_order: int = 0
 
 
 @frozen
@@ -77,6 +79,8 @@
     offset: int
     #: Whether this daemon read it from the store itself.
     is_first_hand: bool
+    #: Position of the newest rollout order that may precede `offset`, 0 if there is none.
+    newest_order: int
 
 
 @define
@@ -181,16 +185,18 @@
         version: int = 0,
         offset: int = -1,
         is_first_hand: bool = False,
+        newest_order: int = 0,
     ) -> bool:
         """Put a document in force if it is valid and newer.
 
         Returns true if it was put in force or is being parsed. `version` is the number that the
         sender announced, 0 if unknown. `offset` is the position from which to continue reading the
-        store, negative if unknown.
+        store, negative if unknown; `newest_order` is the position of the newest rollout order that
+        may precede it.
         """
         if self._is_known(document) or 0 < version <= self.version:
             return False
-        offer = _Offer(document, source, version, offset, is_first_hand)
+        offer = _Offer(document, source, version, offset, is_first_hand, newest_order)
         if self._reading is not None:
             return self._enqueue(offer)
         before = self.version
@@ -298,7 +304,12 @@
         self._invariants.expect(configuration.version > self.version, Invariant.NEVER_BACK)
         offer = reading.offer
         accepted = AcceptedVersion(
-            offer.document, configuration, self._timers.now(), offer.offset, offer.is_first_hand
+            offer.document,
+            configuration,
+            self._timers.now(),
+            offer.offset,
+            offer.is_first_hand,
+            offer.newest_order,
         )
         self._put_in_force(accepted, offer.source, reading.count)
 
--- a/packages/hosted/tests/test_store_rewinds.py
+++ b/packages/hosted/tests/test_store_rewinds.py
@@ -372,6 +372,44 @@
             machine.is_copied()
         machine.teardown()
 
+    def test_order_is_not_lost_with_the_reader_that_has_told_nobody(self) -> None:
+        """Its version travelled on with a position behind the order, and the next lead read on from there."""
+        machine = self.machine
+        machine.starts_up(ordered=0, is_lost=True)
+        machine.publishes()
+        machine.some_are_killed(hosts=set())
+        machine.orders()
+        machine.some_are_killed(hosts={2})
+        machine.some_are_killed(hosts=set())
+        machine.some_are_out_of_reach(hosts={5}, is_cut=False)
+        machine.operator_notices()
+        machine.some_are_out_of_reach(hosts=set(), is_cut=False)
+        machine.publishes()
+        machine.some_are_killed(hosts={0, 4})
+        machine.is_copied()
+        machine.is_copied()
+        machine.some_are_out_of_reach(hosts=set(), is_cut=False)
+        machine.teardown()
+
+    def test_order_is_not_lost_with_the_lead_that_holds_it(self) -> None:
+        """As above, with an order that is held in case it is older than the known one."""
+        machine = self.machine
+        machine.starts_up(ordered=1, is_lost=True)
+        machine.orders()
+        machine.publishes()
+        machine.is_copied()
+        machine.some_are_killed(hosts={2, 3})
+        machine.time_passes(seconds=0.1)
+        machine.operator_notices()
+        machine.some_are_killed(hosts=set())
+        machine.is_copied()
+        machine.some_are_killed(hosts=set())
+        machine.time_passes(seconds=0.5)
+        machine.some_are_killed(hosts=set())
+        machine.time_passes(seconds=0.1)
+        machine.some_are_killed(hosts=set())
+        machine.teardown()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/hosted/tests/version_mesh.py
+++ b/packages/hosted/tests/version_mesh.py
@@ -223,6 +223,7 @@
             seed=seed,
             log=log,
             on_record=rollouts.take_record,
+            newest_order=lambda: rollouts.newest_order,
         )
         daemon = Daemon(members, versions, feeding, book, port)
 
--- a/packages/rollouts/src/acaciayard_rollouts/_conductor.py
+++ b/packages/rollouts/src/acaciayard_rollouts/_conductor.py
@@ -150,6 +150,11 @@
         hosts = self._fleet.hosts(rollout.service)[rollout.version]
         return evidence_of(case.reports.values(), new_hosts=hosts)
 
+    @property
+    def newest_order(self) -> int:
+        """Position of the newest order that is known or held, 0 if there is none."""
+        return max(self._held.newest, *(each.order for each in self._book.all), 0)
+
     # --- decisions --------------------------------------------------------------------------------
 
     def look(self) -> None:
--- a/packages/rollouts/src/acaciayard_rollouts/_held_orders.py
+++ b/packages/rollouts/src/acaciayard_rollouts/_held_orders.py
@@ -57,6 +57,11 @@
         """Whether any order is held."""
         return bool(self._held)
 
+    @property
+    def newest(self) -> int:
+        """Position of the newest order that is held, 0 if there is none."""
+        return max((held.order.order for held in self._held.values()), default=0)
+
     def drop(self, service: str) -> None:
         """Drop the held order of a service, as another one was accepted."""
         self._held.pop(service, None)
