The reason of a call given up before it was sent names why it was given up

Such a call ended as "the call was given up before it was sent", whatever had given it up: its deadline, a host without a sign of life, or a faster attempt. So the hypotheses on the listed failure of test_call_run (large body) could not be told apart in a log. Now the reason goes on with that of the abort, as the reason of an unknown outcome does.

--- a/packages/calls/src/acaciayard_calls/_call_run.py
+++ b/packages/calls/src/acaciayard_calls/_call_run.py
@@ -226,8 +226,8 @@
             raise
         finally:
             timer.cancel()
-        if attempt.abort_reason and isinstance(outcome, OutcomeUnknown):
-            outcome = evolve(outcome, reason=attempt.abort_reason, is_silent=attempt.is_silent)
+        if attempt.abort_reason:
+            outcome = _with_abort_reason(outcome, attempt)
         attempt.was_given_up = attempt.was_given_up or self._watch.is_given_up
         attempt.end(outcome)
         if isinstance(outcome, NotRun) and not outcome.is_by_target:
@@ -351,6 +351,19 @@
         return hedge.answered
 
 
+def _with_abort_reason(
+    outcome: Answer | NotRun | OutcomeUnknown, attempt: Attempt
+) -> Answer | NotRun | OutcomeUnknown:
+    """The outcome of an aborted attempt, with the reason why it was aborted."""
+    match outcome:
+        case OutcomeUnknown():
+            return evolve(outcome, reason=attempt.abort_reason, is_silent=attempt.is_silent)
+        case NotRun(reason=reason):
+            return evolve(outcome, reason=f"{reason}: {attempt.abort_reason}")
+        case Answer():
+            return outcome
+
+
 def _describe(outcome: Answer | NotRun | OutcomeUnknown) -> str:
     """An outcome as it appears in logs."""
     match outcome:
