A daemon doesn't take its own pause for the silence of another host

Callers saw: calls refused as "the call was given up before it was sent" and, for a moment after, "no target takes calls", at an entry whose process had not run for a tenth of a second; hosts that were well got no calls from it.

Cause: a host must acknowledge a call within 60 ms, on a timer of the calling daemon. When that process does not run for so long (another process has the core, a page is read from disk, one callback takes long), the timer is due before what has arrived is read, or before a connection that the kernel has opened can be used. The call is aborted, the host counts as silent and is ejected. Hedged requests and the time limit of a connection are judged alike.

Fix: ReplyWait, in the timer package. The last third of a wait is repeated until it passes without a pause, six times at most, so that a reply that is there is read first. A wait without a pause ends on time; the next timer is only set if two thirds of it pass, which nearly no call sees. Used for the acknowledgement, the hedged request, and connections to daemons and targets. The gauge acaciayard_reply_waits_extended counts what was extended.

Looked for elsewhere: probes of members need two missing answers and ignore pauses of a second, requests for tokens of a cap ask each seat twice, and the store is asked again; a pause costs them one more try and no caller a refusal, so they stay as they are.

CallRunTest.test_pause_of_the_own_daemon_is_not_taken_for_silence_of_a_host failed before (NotRun).

--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -213,7 +213,7 @@
         with anyio.CancelScope() as scope:
             self._waiting = scope
             try:
-                with self._timers.timeout(_CONNECT_TIMEOUT_SECONDS):
+                with self._timers.reply_timeout(_CONNECT_TIMEOUT_SECONDS):
                     self._connection = await target.new_connection()
                     return None
             except StreamLostError as error:
--- a/packages/calls/src/acaciayard_calls/_attempt_timer.py
+++ b/packages/calls/src/acaciayard_calls/_attempt_timer.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from collections.abc import Callable
-from operator import attrgetter
 
 from attrs import define
 
-from acaciayard_timers import Subscription, TimerService
+from acaciayard_timers import ReplyWait, Subscription, TimerService
 
-__all__ = ["AttemptTimer", "TimedAction"]
+__all__ = ["AttemptTimer", "TimedAction", "on_overdue"]
 
 
 @define(eq=False)
@@ -20,9 +20,17 @@
     at: float
     #: The callback, by which `AttemptTimer.drop` also finds the action.
     act: Callable[[], None]
+    #: The wait for a reply at whose end it runs, which may move `at`.
+    wait: ReplyWait | None = None
 
 
-_BY_TIME = attrgetter("at")
+def on_overdue(wait: ReplyWait, act: Callable[[], None]) -> TimedAction:
+    """An action that runs when a reply is overdue."""
+    return TimedAction(wait.due, act, wait)
+
+
+def _latest_first(action: TimedAction) -> float:
+    return -action.at
 
 
 class AttemptTimer:
@@ -40,7 +48,7 @@
 
     def __init__(self, timers: TimerService, actions: list[TimedAction]) -> None:
         self._timers = timers
-        self._actions = sorted(actions, key=_BY_TIME, reverse=True)
+        self._actions = sorted(actions, key=_latest_first)
         self._subscription: Subscription | None = None
         self._schedule()
 
@@ -66,5 +74,10 @@
 
     def _fire(self) -> None:
         action = self._actions.pop()
+        if action.wait is not None and not action.wait.has_expired():
+            action.at = action.wait.due
+            insort(self._actions, action, key=_latest_first)
+            self._schedule()
+            return
         self._schedule()
         action.act()
--- a/packages/calls/src/acaciayard_calls/_call_run.py
+++ b/packages/calls/src/acaciayard_calls/_call_run.py
@@ -17,7 +17,7 @@
 from acaciayard_timers import ProcessorPart
 
 from ._attempt import Answered, Attempt, DispatchContext
-from ._attempt_timer import AttemptTimer, TimedAction
+from ._attempt_timer import AttemptTimer, TimedAction, on_overdue
 
 __all__ = ["CallRun", "no_target"]
 
@@ -200,12 +200,12 @@
         self._watch.follow(attempt.exchange)
         actions = []
         if not attempt.exchange.is_acknowledged:
-            actions.append(
-                TimedAction(attempt.started + _ACKNOWLEDGE_TIMEOUT_S, self._on_unacknowledged)
-            )
+            wait = self._timers.reply_wait(_ACKNOWLEDGE_TIMEOUT_S)
+            actions.append(on_overdue(wait, self._on_unacknowledged))
         slow_at = attempt.started + self._plan.retry.per_try_s
         if self._may_hedge() and slow_at < self._call.deadline:
-            actions.append(TimedAction(slow_at, self._on_slow))
+            wait = self._timers.reply_wait(self._plan.retry.per_try_s)
+            actions.append(on_overdue(wait, self._on_slow))
         return await self._finish(attempt, actions)
 
     async def _finish(
--- a/packages/calls/tests/test_call_run.py
+++ b/packages/calls/tests/test_call_run.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -99,6 +101,23 @@
 
         self.run_harness([Host("one", responder(b"one"))], body)
 
+    def test_pause_of_the_own_daemon_is_not_taken_for_silence_of_a_host(self) -> None:
+        """Calls ended as given up before they were sent, and their hosts were ejected."""
+
+        async def body(harness: CallHarness, run: RunCall) -> None:
+            loop = asyncio.get_running_loop()
+            for pause_s in (0.07, 0.3):
+                for routes, is_idempotent in ((NON_IDEMPOTENT, False), (IDEMPOTENT, True)):
+                    loop.call_soon(time.sleep, pause_s)
+                    outcome = await run(routes, is_idempotent)
+                    assert isinstance(outcome, Answered), outcome
+                    self.assertEqual(outcome.answer.body, b"one")
+            self.assertGreater(harness.timers.extended_waits, 0)
+
+        target = responder(b"one")
+        self.run_harness([Host("one", target)], body)
+        self.assertEqual(len(target.request_heads), 4)
+
     def test_silent_host_adds_little_latency_and_no_duplicate_execution(self) -> None:
         live = responder(b"live")
 
--- a/packages/handover/src/acaciayard_handover/_pool.py
+++ b/packages/handover/src/acaciayard_handover/_pool.py
@@ -58,7 +58,7 @@
     async def open(self, address: Address) -> MessageStream:
         """Open a new stream; raises `StreamLostError`."""
         self._opened += 1
-        with self._timers.timeout(self._connect_within):
+        with self._timers.reply_timeout(self._connect_within):
             return await self._opener(address)
         raise StreamLostError(f"{address} did not answer in {self._connect_within:g} s")
 
--- a/packages/hosted/src/acaciayard_hosted/_gauges.py
+++ b/packages/hosted/src/acaciayard_hosted/_gauges.py
@@ -107,6 +107,11 @@
         Gauge("rejected", "Bad configurations so far", lambda: of.versions.rejected),
         Gauge("tries", "Offers of calls of callers here so far", lambda: of.calls.tries),
         Gauge("timers_set", "Timers set so far", lambda: of.timers.timers_set),
+        Gauge(
+            "reply_waits_extended",
+            "Waits for replies so far that a pause of this process has extended",
+            lambda: of.timers.extended_waits,
+        ),
         Gauge("streams_opened", "Streams for calls opened so far", lambda: of.pool.opened),
         Gauge("lines_written", "Log lines written so far", lambda: of.lines.written),
         Gauge("passed_over", "Versions not read for newer ones", lambda: of.versions.passed_over),
--- a/packages/timers/src/acaciayard_timers/__init__.py
+++ b/packages/timers/src/acaciayard_timers/__init__.py
@@ -2,6 +2,7 @@
 
 from ._account import NO_ACCOUNT, ProcessorAccount, ProcessorPart
 from ._pause import PauseDetector
+from ._reply_wait import ReplyWait
 from ._service import (
     MAX_RESUME_DELAY,
     EventLoopTimers,
@@ -20,6 +21,7 @@
     "PauseDetector",
     "ProcessorAccount",
     "ProcessorPart",
+    "ReplyWait",
     "Signal",
     "Subscription",
     "Tick",
--- a/packages/timers/src/acaciayard_timers/_service.py
+++ b/packages/timers/src/acaciayard_timers/_service.py
@@ -22,6 +22,7 @@
 from attrs import define, field, frozen
 
 from ._account import NO_ACCOUNT, ProcessorAccount, ProcessorPart
+from ._reply_wait import ReplyWait
 
 __all__ = [
     "MAX_RESUME_DELAY",
@@ -101,11 +102,18 @@
             await probe_next_member()
     """
 
+    _extended_waits = 0
+
     @property
     def account(self) -> ProcessorAccount:
         """Account of the processor time of this process; counts nothing unless overridden."""
         return NO_ACCOUNT
 
+    @property
+    def extended_waits(self) -> int:
+        """Number of times so far that a wait for a reply was extended for a pause."""
+        return self._extended_waits
+
     @abstractmethod
     def now(self) -> float:
         """Monotonic time in seconds; only differences are meaningful."""
@@ -158,6 +166,33 @@
             finally:
                 subscription.cancel()
 
+    def reply_wait(self, seconds: float) -> ReplyWait:
+        """Begin to wait `seconds` for a reply, without the time in which this process is paused."""
+        return ReplyWait(self, seconds, on_extended=self._note_extended_wait)
+
+    @contextmanager
+    def reply_timeout(self, seconds: float) -> Iterator[anyio.CancelScope]:
+        """Like `timeout`, for a body that waits for another process: see `ReplyWait`."""
+        wait = self.reply_wait(seconds)
+        subscription: Subscription
+        with anyio.CancelScope() as scope:
+
+            def check() -> None:
+                nonlocal subscription
+                if wait.has_expired():
+                    scope.cancel()
+                else:
+                    subscription = self.call_at(wait.due, check)
+
+            subscription = self.call_at(wait.due, check)
+            try:
+                yield scope
+            finally:
+                subscription.cancel()
+
+    def _note_extended_wait(self) -> None:
+        self._extended_waits += 1
+
 
 class _HeapTimer(Subscription):
     """A timer in the heap of an `EventLoopTimers`."""
