The port of a target stand-in is claimed where it listens

Whoever starts a mesh saw: `make run`, `make smoke` or a test ends with "krajums-2-target did not log it within 30 s", in some runs only.

Cause: the targets of all hosts listen at 127.0.0.1, and the port of each was claimed at the address of its host. A claim at another address excludes nobody: a second host, another mesh or another program could have the port at 127.0.0.1, and the target ended at its start. The message did not tell an ended process from a slow one, so this looked like a slow start. When the entry was written the port was looked for at the address of the host as well, and let go of again before the target was started, so that the kernel could give it out meanwhile.

Evidence: with the port of krajums-2's target in use at 127.0.0.1 and free at the address of its host, the mesh of `make smoke` ended on the code before with "krajums-2-target (ended) did not log it within 30 s" and "address already in use"; now it starts. The other hypothesis, a starved machine, gives the same message too: beside 170 busy processes a target had used 0.81 s of processor time in 30.6 s, state R, where it needs 0.7 to 0.9; beside 60 busy processes all started (33.6 s). Reading all files of a start from the disk again did not delay it (9.8 s).

Fix: one constant names the address, and the claim is made there. The message now says that a process has ended, with its status, or what a slow one has used.

--- a/packages/standins/src/acaciayard_standins/_mesh.py
+++ b/packages/standins/src/acaciayard_standins/_mesh.py
@@ -18,6 +18,8 @@
 
 #: Hosts whose daemons others meet first.
 _SEEDS: Final = 3
+#: Where the target stand-ins of all hosts listen.
+_TARGET_IP: Final = "127.0.0.1"
 
 
 @frozen
@@ -74,7 +76,7 @@
 
     def _make_target(self) -> StandInProcess:
         plan = self._plan
-        port = claim_port(self._ip)
+        port = claim_port(_TARGET_IP)
         self._target_port = port
         options = {
             "--api": self.api,
@@ -138,7 +140,7 @@
     @property
     def target_url(self) -> str:
         """Address of the target itself."""
-        return f"http://127.0.0.1:{self._target_port}"
+        return f"http://{_TARGET_IP}:{self._target_port}"
 
     def write_settings(self, *, log_url: str, seeds: list[str]) -> None:
         """Write the settings file of the daemon."""
--- a/packages/standins/src/acaciayard_standins/_process.py
+++ b/packages/standins/src/acaciayard_standins/_process.py
@@ -11,6 +11,7 @@
 import threading
 import time
 from collections.abc import Callable, Mapping
+from pathlib import Path
 from typing import Final
 
 from attrs import frozen
@@ -21,6 +22,8 @@
 #: Seconds for a process to say that it is ready, or to end.
 _START_WITHIN: Final = 30.0
 _END_WITHIN: Final = 15.0
+#: State, major faults, user and system time in /proc/PID/stat, counted from behind the name.
+_STAT_FIELDS: Final = (0, 9, 11, 12)
 
 
 class ProcessError(Exception):
@@ -51,6 +54,7 @@
         self._lines: list[LogLine] = []
         self._changed = threading.Condition()
         self._process: subprocess.Popen[str] | None = None
+        self._started_at = 0.0
 
     @property
     def name(self) -> str:
@@ -77,6 +81,7 @@
     def start(self) -> None:
         """Start the process without waiting for it."""
         self._lines = []
+        self._started_at = time.monotonic()
         self._process = subprocess.Popen(
             [sys.executable, "-u", *self._arguments],
             stdout=subprocess.PIPE,
@@ -115,9 +120,18 @@
                 self._changed.wait(min(left, 0.5))
 
     def _account(self, within: float) -> str:
-        state = "running" if self.is_running else "ended"
+        assert self._process is not None
         tail = "\n".join(line.pairs.get("raw", str(dict(line.pairs))) for line in self._lines[-30:])
-        return f"{self._name} ({state}) did not log it within {within:g} s:\n{tail}"
+        age = time.monotonic() - self._started_at
+        status = self._process.poll()
+        if status is not None:
+            return (
+                f"{self._name} has ended with status {status} {age:.1f} s after its start:\n{tail}"
+            )
+        return (
+            f"{self._name} did not log it within {within:g} s; it runs since {age:.1f} s:"
+            f" {_usage(self.pid)}\n{tail}"
+        )
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
@@ -154,5 +168,16 @@
         self.signal(signal.SIGCONT)
 
 
+def _usage(pid: int) -> str:
+    """What a process has used, to tell one that hangs from one that gets no processor or disk."""
+    try:
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    except OSError:
+        return "usage unknown"  # it has just ended, or this system has no /proc
+    state, disk_reads, *ticks = (fields[index] for index in _STAT_FIELDS)
+    seconds = sum(map(int, ticks)) / os.sysconf("SC_CLK_TCK")
+    return f"state {state}, {seconds:.2f} s of processor time, {disk_reads} pages read from disk"
+
+
 def _raw(line: str) -> LogLine:
     return LogLine("", {"raw": line.rstrip()})
