--- a/packages/hosted/src/acaciayard_hosted/_directory.py
+++ b/packages/hosted/src/acaciayard_hosted/_directory.py
@@ -159,7 +159,8 @@
         self._is_entry_lost = False
         #: Entries that this daemon has seen in the present era of the store, by host.
         self._found: dict[str, str] = {}
-        self._checks = 0
+        #: Checks in a row that missed an entry.
+        self._failed_checks = 0
         self._next_check_at = timers.now() + _CHECK_INTERVALS[0]
         members.on_unknown_sender(self._on_stranger)
         if port is not None:
@@ -252,7 +253,7 @@
     def note_era(self, _change: EraChange) -> None:
         """Check the list again: the store was restored from a copy that may lack entries."""
         self._found.clear()
-        self._checks = 0
+        self._failed_checks = 0
         self._next_check_at = self._timers.now()
 
     def _on_entry_lost(self, lost: EntryLost, _sender: Address) -> None:
@@ -280,14 +281,21 @@
                 self._is_entry_lost = True
             elif self._port is not None:
                 self._port.send_datagram(EntryLost(member.host), member.control)
-        self._checks = self._checks + 1 if lost else 0
-        first, longest = _CHECK_INTERVALS
-        interval = min(longest, first * 2 ** max(0, self._checks - 1))
-        self._next_check_at = self._timers.now() + interval
+        self._schedule_check(is_complete=not lost)
         self._log.info(
-            "directory_checked", era=era_of(result.next_offset), lost=len(lost), look=self._checks
+            "directory_checked",
+            era=era_of(result.next_offset),
+            lost=len(lost),
+            look=self._failed_checks,
         )
 
+    def _schedule_check(self, *, is_complete: bool) -> None:
+        """Set when the list may be read again; the interval doubles while an entry is missing."""
+        first, longest = _CHECK_INTERVALS
+        self._failed_checks = 0 if is_complete else self._failed_checks + 1
+        interval = first * 2 ** max(0, self._failed_checks - 1)
+        self._next_check_at = self._timers.now() + min(longest, interval)
+
     def _unseen(self) -> list[Member]:
         """Listed members whose entries were not seen in the present era of the store."""
         return [m for m in self._listed() if self._found.get(m.host) != _entry_of(m)]
--- a/packages/timers/src/acaciayard_timers/_reply_wait.py
+++ b/packages/timers/src/acaciayard_timers/_reply_wait.py
@@ -16,6 +16,8 @@
 
 
 class _Clock(Protocol):
+    """The part of a timer service that a wait needs."""
+
     def now(self) -> float:
         """Monotonic time in seconds."""
 
--- a/packages/timers/src/acaciayard_timers/_service.py
+++ b/packages/timers/src/acaciayard_timers/_service.py
@@ -102,6 +102,7 @@
             await probe_next_member()
     """
 
+    #: Number of times that a wait for a reply was extended; counted by `reply_wait`.
     _extended_waits = 0
 
     @property
