Tests of claimed ports don't depend on what else is claimed at 127.0.0.1

test_targets_of_two_hosts_never_get_the_same_port had fixed ports, which the other run had claimed. It now creates the first host with any ports and has the second one draw the first target's port before any other.

test_what_another_process_has_claimed_is_passed_over was wrong already before: it took a port that is free at 127.0.0.2 for one that is free at 127.0.0.1, where the other tests of its file claim 220 ports and other runs claim theirs, so that about one run in a hundred had no port left to draw (StopIteration). It, and test_what_somebody_listens_at_is_passed_over with the same assumption, now use an address at which nobody else has claimed anything; what they assert is the same.

--- a/packages/standins/tests/test_ports.py
+++ b/packages/standins/tests/test_ports.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 import subprocess
 import sys
@@ -18,11 +19,19 @@
 CLAIM = """
 import sys
 from acaciayard_standins import claim_port
-print(claim_port("127.0.0.1"), flush=True)
+print(claim_port(sys.argv[1]), flush=True)
 sys.stdin.read()
 """
 
 
+def unused_address() -> str:
+    """A loopback address at which nobody else has claimed or opened a port.
+
+    At 127.0.0.1 other tests and processes claim hundreds, any of which a test may draw as free.
+    """
+    return f"127.{random.randint(200, 250)}.{random.randint(1, 254)}.{random.randint(1, 254)}"
+
+
 class ClaimPortTest(unittest.TestCase):
     def test_the_kernel_gives_it_to_nobody(self) -> None:
         """All ports that the kernel gives out meanwhile are others, however many are asked for."""
@@ -46,23 +55,28 @@
         self.assertEqual(len(set(ports)), len(ports))
 
     def test_what_another_process_has_claimed_is_passed_over(self) -> None:
+        address = unused_address()
         with subprocess.Popen(
-            [sys.executable, "-c", CLAIM], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+            [sys.executable, "-c", CLAIM, address],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
         ) as other:
             assert other.stdout is not None
             theirs = int(other.stdout.readline())
-            free = claim_port("127.0.0.2")
+            free = theirs + 1
             with mock.patch("random.SystemRandom.randint", side_effect=[theirs, free]):
-                self.assertEqual(claim_port(IP), free)
+                self.assertEqual(claim_port(address), free)
 
     def test_what_somebody_listens_at_is_passed_over(self) -> None:
+        address = unused_address()
         with socket.socket() as busy:
-            busy.bind((IP, 0))
+            busy.bind((address, 0))
             busy.listen()
             taken = busy.getsockname()[1]
-            free = claim_port("127.0.0.2")
+            free = taken + 1
             with mock.patch("random.SystemRandom.randint", side_effect=[taken, free]):
-                self.assertEqual(claim_port(IP), free)
+                self.assertEqual(claim_port(address), free)
 
 
 if __name__ == "__main__":
--- a/packages/standins/tests/test_starts.py
+++ b/packages/standins/tests/test_starts.py
@@ -3,34 +3,46 @@
 from __future__ import annotations
 
 import itertools
+import random
 import tempfile
 import unittest
 from pathlib import Path
 from unittest import mock
 
-from acaciayard_standins import HostPlan, MeshHost, ProcessError, StandInProcess
+from acaciayard_standins import (
+    HostPlan,
+    MeshHost,
+    ProcessError,
+    StandInProcess,
+    claim_port,
+)
 
-FIRST_PORT = 20_000
+PORTS = range(10_000, 32_000)
 
 
 class TargetPortTest(unittest.TestCase):
     def test_targets_of_two_hosts_never_get_the_same_port(self) -> None:
         """The second target ended at its start, as all targets listen at one address."""
-        ports = itertools.count(FIRST_PORT)
-        drawn = [*itertools.islice(ports, 5), *itertools.islice(ports, 4)]
-        taken = drawn[4]  # after the four ports of the first daemon comes that of its target
-        with (
-            tempfile.TemporaryDirectory() as folder,
-            mock.patch(
-                "random.SystemRandom.randint", side_effect=itertools.chain(drawn, [taken], ports)
-            ),
-        ):
-            hosts = [
-                MeshHost(HostPlan(f"host-{n}", "d", "a"), f"127.19.0.{n}", Path(folder))
-                for n in (1, 2)
-            ]
-        self.assertEqual(hosts[0].target_url, f"http://127.0.0.1:{taken}")
-        self.assertNotEqual(hosts[0].target_url, hosts[1].target_url)
+        with tempfile.TemporaryDirectory() as folder:
+            first = self.host(1, folder)
+            taken = int(first.target_url.rpartition(":")[2])
+
+            def claim(ip: str, *, udp: bool = False) -> int:
+                """Draw the port of the first target before others, for the second target only."""
+                if udp:
+                    return claim_port(ip, udp=True)
+                others = iter(lambda: random.choice(PORTS), None)
+                draws = itertools.chain([taken], others)
+                with mock.patch("random.SystemRandom.randint", side_effect=draws):
+                    return claim_port(ip)
+
+            with mock.patch("acaciayard_standins._mesh.claim_port", claim):
+                second = self.host(2, folder)
+        self.assertNotEqual(first.target_url, second.target_url)
+
+    def host(self, number: int, folder: str) -> MeshHost:
+        plan = HostPlan(f"host-{number}", "d", "a")
+        return MeshHost(plan, f"127.19.0.{number}", Path(folder))
 
 
 class ProcessErrorTest(unittest.TestCase):
