A daemon knows how old its configuration is, and counts its reads of the store

Gauge configuration_age_seconds, counter store_reads{role,outcome}; store_lost says the role, the age and whether the connection was a kept or a new one; versions carry their sender's age. No logic changes.

--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -44,6 +44,7 @@
 from acaciayard_timers import EventLoopTimers, PauseDetector
 from acaciayard_wire import ControlPort, MessageCodec, Traffic
 
+from ._age import ConfigurationAge
 from ._call_log import CallLog
 from ._daemon import HostedDaemon
 from ._directory import DIRECTORY_MESSAGES, HostDirectory
@@ -53,6 +54,7 @@
 from ._gauges import (
     GaugeSources,
     daemon_gauges,
+    read_counts,
     retry_counts,
     target_counts,
     workspace_counts,
@@ -270,7 +272,9 @@
         entry, dispatcher = self._make_entry(targets, members, caps)
         await entry.open(settings.entry.ip, settings.entry.port, self._tasks)
         feeding = Feeding(members=members, timers=self._timers, log=self._log)
+        age = ConfigurationAge(self._timers)
         relay = VersionRelay(
+            age=age,
             versions=self._versions,
             members=members,
             feeding=feeding,
@@ -281,6 +285,7 @@
         )
         rollouts = self._rollouts = self._make_rollouts(members, feeding, port, store)
         follower = StoreFollower(
+            age=age,
             store=store,
             feeding=feeding,
             place=self._platform.configuration,
@@ -311,7 +316,9 @@
         store.on_change(rollouts.note_era)
         store.on_change(directory.note_era)
         readiness = Readiness(self._platform.readiness_path, self._versions, log=self._log)
-        services = await self._open_services(targets, readiness, dispatcher, members, caps)
+        services = await self._open_services(
+            targets, readiness, dispatcher, members, caps, follower
+        )
 
         return HostedDaemon(
             settings=settings,
@@ -435,6 +442,7 @@
         dispatcher: Dispatcher,
         members: Membership,
         caps: ConnectedCaps,
+        follower: StoreFollower,
     ) -> tuple[HttpService, ...]:
         """Open the HTTP services that the platform uses."""
         settings = self._settings
@@ -442,6 +450,7 @@
             versions=self._versions,
             members=members,
             store=self._store,
+            follower=follower,
             dispatcher=dispatcher,
             budgets=self._budgets,
             targets=targets,
@@ -458,7 +467,12 @@
         page = MetricsPage(
             self._calls_log,
             daemon_gauges(sources),
-            (*target_counts(sources), *retry_counts(sources), *workspace_counts(sources)),
+            (
+                *target_counts(sources),
+                *read_counts(sources),
+                *retry_counts(sources),
+                *workspace_counts(sources),
+            ),
             account=self._timers.account,
         )
         opened = []
--- a/packages/hosted/src/acaciayard_hosted/_follower.py
+++ b/packages/hosted/src/acaciayard_hosted/_follower.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import anyio
@@ -21,6 +22,7 @@
 )
 from acaciayard_timers import TimerService
 
+from ._age import ConfigurationAge
 from ._feeding import Feeding
 from ._versions import AcceptedVersions
 
@@ -85,6 +87,7 @@
         timers: TimerService,
         seed: random.Random,
         log: structlog.typing.FilteringBoundLogger,
+        age: ConfigurationAge,
         on_record: Callable[[KeyedRecord], None] = lambda _record: None,
         newest_order: Callable[[], int] = lambda: 0,
     ) -> None:
@@ -95,6 +98,8 @@
         self._timers = timers
         self._random = seed
         self._log = log
+        self._age = age
+        self._reads: Counter[tuple[str, str]] = Counter()
         self._failures = 0
         self._unavailable_since = 0.0
         self._answers_in_a_row = _ANSWERS_TO_TRUST
@@ -102,6 +107,16 @@
         self._on_record = on_record
         self._newest_order = newest_order
 
+    @property
+    def age(self) -> ConfigurationAge:
+        """Age of the configuration of this daemon."""
+        return self._age
+
+    @property
+    def reads(self) -> Mapping[tuple[str, str], int]:
+        """Number of reads so far, by role of this daemon and outcome."""
+        return self._reads
+
     @property
     def is_lost(self) -> bool:
         """Whether the last request to the store went unanswered."""
@@ -233,7 +248,18 @@
             newest_order=self._newest_order(),
         )
 
+    @property
+    def _role(self) -> str:
+        """Role in which this daemon reads the store, for logs and metrics."""
+        if self._feeding.is_alone:
+            return "alone"
+        if self._feeding.is_lead:
+            return "lead"
+        return "reader" if self._feeding.is_feeder else "other"
+
     def _on_answer(self) -> None:
+        self._reads[self._role, "answered"] += 1
+        self._age.note_answer("store")
         if self._failures:
             seconds = round(self._timers.now() - self._unavailable_since, 3)
             self._log.info("store_regained", after_s=seconds, failed_reads=self._failures)
@@ -242,9 +268,16 @@
         self._answers_in_a_row += 1
 
     async def _on_unavailable(self, reason: str) -> None:
+        self._reads[self._role, "unanswered"] += 1
         if not self._failures:
             self._unavailable_since = self._timers.now()
-            self._log.warning("store_lost", reason=reason, version=self._versions.version)
+            self._log.warning(
+                "store_lost",
+                reason=reason,
+                version=self._versions.version,
+                role=self._role,
+                age_s=round(self._age.seconds, 3),
+            )
             self._feeding.note_store(is_served=False)
         self._answers_in_a_row = 0
         first, last = _RETRY_DELAYS
--- a/packages/hosted/src/acaciayard_hosted/_gauges.py
+++ b/packages/hosted/src/acaciayard_hosted/_gauges.py
@@ -15,6 +15,7 @@
 
 from ._call_log import CallLog
 from ._eras import EraGuard
+from ._follower import StoreFollower
 from ._logs import BoundedLines
 from ._metrics import Counts, Gauge
 from ._versions import AcceptedVersions
@@ -22,6 +23,7 @@
 __all__ = [
     "GaugeSources",
     "daemon_gauges",
+    "read_counts",
     "retry_counts",
     "target_counts",
     "workspace_counts",
@@ -38,6 +40,8 @@
     members: Membership
     #: The platform's store.
     store: EraGuard
+    #: Reader of the configuration.
+    follower: StoreFollower
     #: Dispatcher of the calls sent from this host.
     dispatcher: Dispatcher
     #: Retry budgets of the services.
@@ -68,6 +72,11 @@
     """All gauges of a daemon; each is read when metrics are requested."""
     return (
         Gauge("version", "Version in force", lambda: of.versions.version),
+        Gauge(
+            "configuration_age_seconds",
+            "Seconds since the store last confirmed the version in force, -1 before the first time",
+            lambda: of.follower.age.seconds,
+        ),
         Gauge("members", "Daemons that count as running", lambda: of.members.table.present_count),
         Gauge("retries", "Repeats of calls so far", lambda: of.dispatcher.retries),
         Gauge(
@@ -147,6 +156,18 @@
     )
 
 
+def read_counts(of: GaugeSources) -> tuple[Counts, ...]:
+    """The counters of reads of the configuration from the store."""
+    return (
+        Counts(
+            "store_reads",
+            "Reads of the configuration by this daemon, by its role and the outcome",
+            ("role", "outcome"),
+            lambda: of.follower.reads,
+        ),
+    )
+
+
 def retry_counts(of: GaugeSources) -> tuple[Counts, ...]:
     """The counters of the retry budgets."""
     return (
--- a/packages/hosted/src/acaciayard_hosted/_relay.py
+++ b/packages/hosted/src/acaciayard_hosted/_relay.py
@@ -9,7 +9,7 @@
 
 import anyio
 import structlog
-from attrs import frozen
+from attrs import evolve, frozen
 
 from acaciayard_membership import Membership
 from acaciayard_timers import TimerService
@@ -22,6 +22,7 @@
     StreamLostError,
 )
 
+from ._age import UNKNOWN_AGE, ConfigurationAge
 from ._delta import DeltaError, apply_delta, digest_of, make_delta
 from ._feeding import Feeding
 from ._versions import AcceptedVersion, AcceptedVersions
@@ -67,6 +68,8 @@
     offset: int
     #: Position of the newest rollout order that may precede `offset`, 0 if there is none.
     newest_order: int = 0
+    #: Age of the sender's configuration in milliseconds, negative if unknown.
+    age_ms: int = -1
 
 
 @frozen
@@ -85,6 +88,8 @@
     offset: int
     #: Position of the newest rollout order that may precede `offset`, 0 if there is none.
     newest_order: int = 0
+    #: Age of the sender's configuration in milliseconds, negative if unknown.
+    age_ms: int = -1
 
 
 RELAY_MESSAGES: Final[dict[int, type]] = {
@@ -111,7 +116,9 @@
         timers: TimerService,
         seed: random.Random,
         log: structlog.typing.FilteringBoundLogger,
+        age: ConfigurationAge,
     ) -> None:
+        self._age = age
         self._versions = versions
         self._members = members
         self._feeding = feeding
@@ -150,19 +157,37 @@
         version = now.configuration.version
         if before is None:
             digest = digest_of(now.document)
-            return VersionPush(version, _NO_BASE, b"", digest, now.offset, now.newest_order)
+            return VersionPush(
+                version, _NO_BASE, b"", digest, now.offset, now.newest_order, self._age_ms()
+            )
         reply = self._make_reply(before.configuration.version)
         delta = reply.delta if len(reply.delta) <= _MAX_PUSH_BYTES else b""
         return VersionPush(
-            version, reply.base, delta, reply.digest, reply.offset, reply.newest_order
+            version,
+            reply.base,
+            delta,
+            reply.digest,
+            reply.offset,
+            reply.newest_order,
+            self._age_ms(),
         )
 
+    def _age_ms(self) -> int:
+        age = self._age.seconds
+        return -1 if age == UNKNOWN_AGE else round(age * 1000)
+
     def _on_push(self, push: VersionPush, sender: Address) -> None:
         if push.version <= self._versions.version:
             return
         if push.delta and push.base == self._versions.version:
             reply = VersionReply(
-                push.version, push.base, push.delta, push.digest, push.offset, push.newest_order
+                push.version,
+                push.base,
+                push.delta,
+                push.digest,
+                push.offset,
+                push.newest_order,
+                push.age_ms,
             )
             if self._accept_reply(reply, sender):
                 return
@@ -195,7 +220,8 @@
         return reply
 
     async def _serve(self, request: VersionRequest, stream: MessageStream) -> None:
-        await stream.send(self._make_reply(request.version))
+        reply = self._make_reply(request.version)
+        await stream.send(evolve(reply, age_ms=self._age_ms()))
 
     # --- catching up --------------------------------------------------------------------------
 
@@ -260,6 +286,7 @@
         document = self._decode_document(reply, address)
         if document is None:
             return False
+        self._age.note_answer(f"peer {address.ip}", age_s=reply.age_ms / 1000)
         return self._versions.offer(
             document,
             source=f"peer {address.ip}",
--- a/packages/hosted/tests/test_versions.py
+++ b/packages/hosted/tests/test_versions.py
@@ -13,6 +13,7 @@
 from keyed_standin import KeyedStandIn
 
 from acaciayard_hosted import AcceptedVersions, StoreFollower, StoreKey
+from acaciayard_hosted._age import ConfigurationAge
 from acaciayard_resources import Configuration, Finding, FindingsError, Invariants, Place
 from acaciayard_timers import ManualTimers, TimerService
 
@@ -233,6 +234,7 @@
             versions, _ = versions_with(timers)
             log = structlog.wrap_logger(structlog.testing.CapturingLogger())
             follower = StoreFollower(
+                age=ConfigurationAge(timers),
                 store=store,
                 place=PLACE,
                 versions=versions,
--- a/packages/hosted/tests/version_mesh.py
+++ b/packages/hosted/tests/version_mesh.py
@@ -15,6 +15,7 @@
 from plain_words import Words
 
 from acaciayard_hosted import AcceptedVersions, HostedRollouts, StoreFollower, StoreKey
+from acaciayard_hosted._age import ConfigurationAge
 from acaciayard_hosted._directory import DIRECTORY_MESSAGES, HostDirectory
 from acaciayard_hosted._eras import EraGuard
 from acaciayard_hosted._feeding import Feeding
@@ -174,7 +175,9 @@
         )
         store = EraGuard(StoreAsSeen(self.store, host, self.silent, timers), log=log)
         feeding = Feeding(members=members, timers=timers, log=log)
+        age = ConfigurationAge(timers)
         relay = VersionRelay(
+            age=age,
             versions=versions,
             members=members,
             feeding=feeding,
@@ -215,6 +218,7 @@
         )
         store.on_change(directory.note_era)
         follower = StoreFollower(
+            age=age,
             store=store,
             place=PLACE,
             versions=versions,
--- a/packages/http1/src/acaciayard_http1/_client.py
+++ b/packages/http1/src/acaciayard_http1/_client.py
@@ -98,9 +98,14 @@
         """
         connection: _Connection | None = None
         sent = False
+        kind = "new"
         try:
             with self._timers.timeout(within):
-                connection = self._pop_idle_connection() or await self._open_connection()
+                connection = self._pop_idle_connection()
+                if connection is None:
+                    connection = await self._open_connection()
+                else:
+                    kind = "kept"
                 fields = b"host: %s\r\n" % str(self._address).encode()
                 if body:
                     fields += b"content-type: %s\r\n" % content_type
@@ -110,7 +115,7 @@
                 connection.stream.send_nowait(head + body)
                 response, connection = await self._read_response(connection), None
                 return response
-            return self._failure(sent, f"no answer in {within:g} s")
+            return self._failure(sent, f"no answer in {within:g} s on a {kind} connection")
         except (StreamLostError, HttpError) as error:
             return self._failure(sent, str(error))
         finally:
