--- a/packages/hosted/tests/test_versions.py
+++ b/packages/hosted/tests/test_versions.py
@@ -33,6 +33,7 @@
     is_feeder = True
     is_lead = True
     is_relieved = False
+    is_alone = False
 
     async def wait_until_feeder(self) -> None:
         """Return at once."""
