Failing test: versions are late where the connections of the readers fall silent

Nine modelled daemons in three failure domains, a version each 0.6 s; the modelled store keeps connections as the client does, and they can fall silent for good while new ones work. The bounds are the stated ones, 2 s, and 1 s for 99 in 100.

--- /dev/null
+++ b/packages/hosted/tests/test_configuration_age.py
@@ -0,0 +1,124 @@
+"""Tests that the age of each daemon's configuration is bounded while readers of the store fail.
+
+A version that the store has acknowledged must be in force on every daemon within two seconds, and
+on 99 in 100 within one, as long as the store answers any daemon on a new connection.
+"""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+
+import anyio
+from age_record import AgeRecord
+from version_mesh import VersionMesh
+
+#: Seconds within which a version must be in force everywhere.
+BOUND = 2.0
+#: Seconds within which it must be in force for `MOST` of all versions and daemons.
+USUAL_BOUND = 1.0
+MOST = 0.99
+#: Seconds between two versions, and the number of versions of a run.
+PACE = 0.6
+VERSIONS = 28
+
+Fault = Callable[[VersionMesh, int], None]
+
+
+def run_ages(
+    fault: Fault, *, count: int = 9, domains: int = 3, seed: int = 1, versions: int = VERSIONS
+) -> AgeRecord:
+    """Publish versions; `fault` is called before each one, with its number from 0."""
+    records: list[AgeRecord] = []
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            mesh = VersionMesh(tasks, count=count, domains=domains, seed=seed)
+            mesh.publish(1)
+            await mesh.timers.advance(5.0)
+            record = AgeRecord(mesh)
+            records.append(record)
+            record.begin()
+            for number in range(versions):
+                fault(mesh, number)
+                await mesh.timers.advance(PACE / 2)
+                record.publish()
+                await mesh.timers.advance(PACE / 2)
+            await mesh.timers.advance(BOUND)
+            record.end()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    return records[0]
+
+
+def no_fault(_mesh: VersionMesh, _number: int) -> None:
+    """Leave all as it is."""
+
+
+def standing_connections_fall_silent(mesh: VersionMesh, number: int) -> None:
+    """Silence all connections three times; new ones work."""
+    if number in (3, 11, 20):
+        mesh.silence_standing(mesh.daemons)
+
+
+def six_of_nine_get_no_answer(mesh: VersionMesh, number: int) -> None:
+    """Cut off six daemons for six seconds, the readers first."""
+    if number == 5:
+        others = [host for host in mesh.daemons if host not in mesh.readers]
+        mesh.silent.update((mesh.readers + others)[:6])
+    elif number == 15:
+        mesh.silent.clear()
+
+
+def all_but_one_get_no_answer(mesh: VersionMesh, number: int) -> None:
+    """Cut off all daemons but one that does not read."""
+    if number == 5:
+        last = next(host for host in mesh.daemons if host not in mesh.readers)
+        mesh.silent.update(host for host in mesh.daemons if host != last)
+    elif number == 15:
+        mesh.silent.clear()
+
+
+def readers_are_cut_off_in_turn(mesh: VersionMesh, number: int) -> None:
+    """Cut off whoever leads, one daemon after the other, until two are left."""
+    left = [host for host in mesh.daemons if host not in mesh.silent]
+    leads = [host for host in mesh.readers if host in left]
+    if number % 2 == 0 and len(left) > 2 and leads:
+        mesh.silent.add(leads[0])
+
+
+#: Kinds of faults by name.
+FAULTS: dict[str, Fault] = {
+    "none": no_fault,
+    "standing connections silent": standing_connections_fall_silent,
+    "six of nine unanswered": six_of_nine_get_no_answer,
+    "all but one unanswered": all_but_one_get_no_answer,
+    "readers unanswered in turn": readers_are_cut_off_in_turn,
+}
+
+
+class ConfigurationAgeBoundTest(unittest.TestCase):
+    maxDiff = None
+
+    def check(self, fault: Fault, **mesh: int) -> str:
+        """Return what is wrong with the ages under a fault, empty if nothing is."""
+        record = run_ages(fault, **mesh)
+        late = record.share_above(USUAL_BOUND)
+        if record.worst.seconds > BOUND or late > 1 - MOST:
+            return f"worst {record.worst}, {late:.1%} above {USUAL_BOUND:g} s"
+        return f"went back on {record.regressed}" if record.regressed else ""
+
+    def test_versions_are_in_force_in_time_whichever_readers_fail(self) -> None:
+        """Guards against versions held up by silent connections of the daemons that read."""
+        wrong = {
+            f"{name}, seed {seed}": found
+            for name, fault in FAULTS.items()
+            for seed in (1, 2, 3)
+            if (found := self.check(fault, seed=seed))
+        }
+        self.assertEqual(wrong, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/hosted/tests/version_mesh.py
+++ b/packages/hosted/tests/version_mesh.py
@@ -4,8 +4,9 @@
 
 import random
 from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
 from types import MappingProxyType, SimpleNamespace
-from typing import Any, cast
+from typing import Any, TypeVar, cast
 
 import anyio
 import anyio.abc
@@ -51,6 +52,7 @@
 #: Latency of the store in seconds, and the period in seconds within which all hosts start.
 _LATENCY = 0.004
 _STARTS = 0.3
+_T = TypeVar("_T")
 
 
 def read(document: bytes, _earlier: Configuration | None) -> Configuration:
@@ -66,14 +68,49 @@
 )
 
 
+@define(eq=False)
+class Connection:
+    """A connection of one host to the store."""
+
+    #: Whether nothing comes through any more; nobody is told.
+    is_silent: bool = False
+
+
+#: Idle connections that a host keeps for its next requests.
+_MAX_IDLE_CONNECTIONS = 2
+#: Seconds for an answer beyond the wait of a read, and for the newest records.
+_ANSWER_WITHIN = 1.0
+_NEWEST_WITHIN = 3.0
+#: Seconds between two looks whether the store still answers a host whose read is pending.
+_WATCH_INTERVAL = 0.05
+
+
 class StoreAsSeen(KeyedLog):
-    """The store as seen by one host, which it may leave unanswered."""
+    """The store as seen by one host, which it may leave unanswered or refuse.
+
+    Like the client of the real store it keeps connections, and a connection may fall silent.
+    """
 
-    def __init__(self, store: KeyedStandIn, host: str, silent: set[str], timers: ManualTimers):
+    def __init__(
+        self,
+        store: KeyedStandIn,
+        host: str,
+        silent: set[str],
+        refused: set[str],
+        timers: ManualTimers,
+    ) -> None:
         self._store = store
         self._host = host
         self._silent = silent
+        self._refused = refused
         self._timers = timers
+        self._idle: list[Connection] = []
+        self._standing: set[Connection] = set()
+
+    def silence_standing(self) -> None:
+        """Silence all connections that stand now; new ones work."""
+        for connection in self._standing:
+            connection.is_silent = True
 
     async def put(
         self, stream: str, key: str, value: bytes, *, at: int | None = None
@@ -82,35 +119,57 @@
         return await self._store.put(stream, key, value, at=at)
 
     async def newest(self, stream: str) -> KeyedSlice | Unavailable:
-        if self._host in self._silent:
-            self._store.calls += 1
-            await self._timers.sleep(3.0)
-            return Unavailable("no answer")
-        await self._timers.sleep(_LATENCY)
-        return await self._store.newest(stream)
+        return await self._ask(_NEWEST_WITHIN, lambda: self._store.newest(stream))
 
     async def changes(
-        self, stream: str, *, start: int, wait: float
+        self, stream: str, *, start: int, wait: float, is_fresh: bool = False
     ) -> KeyedSlice | Expired | Unavailable:
         """Poll the store; a read that was pending when the store fell silent is lost as well."""
-        until = self._timers.now() + wait + 1.0
-        await self._timers.sleep(_LATENCY)
-        result: KeyedSlice | Expired | Unavailable = Unavailable("no answer")
-        was_silent = self._host in self._silent
-        with self._timers.timeout(until - self._timers.now()):
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._lose, tasks.cancel_scope)
-                result = await self._store.changes(stream, start=start, wait=wait)
-                tasks.cancel_scope.cancel()
-        if was_silent or self._host in self._silent or isinstance(result, Unavailable):
-            await self._timers.sleep(max(0.0, until - self._timers.now()))
-            return Unavailable("no answer")
-        return result
-
-    async def _lose(self, scope: anyio.CancelScope) -> None:
+        return await self._ask(
+            wait + _ANSWER_WITHIN,
+            lambda: self._store.changes(stream, start=start, wait=wait),
+            is_fresh=is_fresh,
+        )
+
+    async def _ask(
+        self, within: float, call: Callable[[], Awaitable[_T]], *, is_fresh: bool = False
+    ) -> _T | Unavailable:
+        if self._host in self._refused:
+            self._store.calls += 1
+            await self._timers.sleep(_LATENCY)
+            return Unavailable("refused")
+        connection = self._idle.pop() if self._idle and not is_fresh else Connection()
+        self._standing.add(connection)
+        result: _T | None = None
+        try:
+            with self._timers.timeout(within):
+                await self._timers.sleep(_LATENCY)
+                await self._pass(connection)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._watch_silence, connection)
+                    answer = await call()
+                    tasks.cancel_scope.cancel()
+                await self._pass(connection)
+                result = answer
+        finally:
+            if result is None or len(self._idle) >= _MAX_IDLE_CONNECTIONS:
+                self._standing.discard(connection)
+            else:
+                self._idle.append(connection)
+        return result if result is not None else Unavailable("no answer")
+
+    async def _watch_silence(self, connection: Connection) -> None:
+        """Silence a connection for good once the store does not answer this host."""
         while self._host not in self._silent:
-            await self._timers.sleep(0.05)
-        scope.cancel()
+            await self._timers.sleep(_WATCH_INTERVAL)
+        connection.is_silent = True
+
+    async def _pass(self, connection: Connection) -> None:
+        """Return if something comes through; wait for ever otherwise."""
+        if connection.is_silent or self._host in self._silent:
+            self._store.calls += not connection.is_silent
+            connection.is_silent = True
+            await anyio.sleep_forever()
 
 
 @define(eq=False)
@@ -122,6 +181,8 @@
     feeding: Feeding
     book: RolloutBook
     port: FakePort
+    store: StoreAsSeen
+    follower: StoreFollower
     #: Scope of its tasks; cancelled by `VersionMesh.kill`.
     scope: anyio.CancelScope = field(factory=anyio.CancelScope)
 
@@ -143,6 +204,10 @@
         self.daemons: dict[str, Daemon] = {}
         #: Hosts that the store does not answer.
         self.silent: set[str] = set()
+        #: Hosts that the store refuses at once.
+        self.refused: set[str] = set()
+        #: Called with the host and the version of each version put in force.
+        self.on_version: Callable[[str, int], None] = lambda _host, _version: None
         self._tasks = tasks
         self._seed = random.Random(seed)
         for number in range(count):
@@ -173,7 +238,8 @@
             position=lambda: versions.version,
             detector=DetectorSettings(),
         )
-        store = EraGuard(StoreAsSeen(self.store, host, self.silent, timers), log=log)
+        seen = StoreAsSeen(self.store, host, self.silent, self.refused, timers)
+        store = EraGuard(seen, log=log)
         feeding = Feeding(members=members, timers=timers, log=log)
         age = ConfigurationAge(timers)
         relay = VersionRelay(
@@ -229,7 +295,8 @@
             on_record=rollouts.take_record,
             newest_order=lambda: rollouts.newest_order,
         )
-        daemon = Daemon(members, versions, feeding, book, port)
+        daemon = Daemon(members, versions, feeding, book, port, seen, follower)
+        versions.on_version(lambda _before, now: self.on_version(host, now.configuration.version))
 
         async def follow() -> None:
             await directory.first_look()
@@ -254,6 +321,17 @@
         """Publish an operator's version; the store has acknowledged it."""
         self.store.add(PLACE.stream, PLACE.key, b"%d" % version)
 
+    def silence_standing(self, hosts: Iterable[str]) -> None:
+        """Silence all connections to the store that these hosts have now; new ones work."""
+        for host in hosts:
+            self.daemons[host].store.silence_standing()
+
+    @property
+    def readers(self) -> list[str]:
+        """The hosts that read the store, the lead first."""
+        readers = [host for host, daemon in self.daemons.items() if daemon.feeding.is_feeder]
+        return sorted(readers, key=lambda host: not self.daemons[host].feeding.is_lead)
+
     @property
     def lead(self) -> str:
         """The host of the lead daemon."""
