A request after an unanswered one uses no connection that stood before it

Cause: the client closed the connection that had given no answer and sent the repeat on the other one that it kept, which had gone silent at the same moment. Fix: whatever ends without an answer closes all kept connections that have not carried one since the request began. A request may also ask for a new connection.

--- a/packages/http1/src/acaciayard_http1/_client.py
+++ b/packages/http1/src/acaciayard_http1/_client.py
@@ -91,17 +91,20 @@
         body: bytes = b"",
         content_type: bytes = b"application/json",
         within: float,
+        is_fresh: bool = False,
     ) -> HttpResponse | NotSent | Unanswered:
         """Send one request and read its response.
 
-        `within` is the timeout in seconds for connecting, sending and reading the response.
+        `within` is the timeout in seconds for connecting, sending and reading the response. With
+        `is_fresh` the request goes out on a new connection.
         """
         connection: _Connection | None = None
         sent = False
+        began = self._timers.now()
         kind = "new"
         try:
             with self._timers.timeout(within):
-                connection = self._pop_idle_connection()
+                connection = None if is_fresh else self._pop_idle_connection()
                 if connection is None:
                     connection = await self._open_connection()
                 else:
@@ -121,6 +124,7 @@
         finally:
             if connection is not None:
                 connection.stream.abort()
+                self._close_unproved(began)
 
     def _failure(self, sent: bool, reason: str) -> NotSent | Unanswered:
         return Unanswered(reason) if sent else NotSent(reason)
@@ -151,6 +155,16 @@
             connection.stream.abort()
         return None
 
+    def _close_unproved(self, since: float) -> None:
+        """Close the kept connections that have carried no response after `since`.
+
+        What silenced one connection, without a reset, may have silenced all that stood.
+        """
+        for connection in self._idle_connections:
+            if connection.last_used <= since:
+                connection.stream.abort()
+        self._idle_connections = [c for c in self._idle_connections if c.last_used > since]
+
     async def _open_connection(self) -> _Connection:
         address = self._address
         with self._timers.timeout(_CONNECT_TIMEOUT_S):
