An overdue read of the store is doubted in a tenth of a second, and watchers read beside it

Callers saw: calls handled by versions that were replaced seconds before, and 404 for routes that are there, on all daemons at once. Cause: the age of the whole mesh's configuration was the patience of one reader. A read was given up a second after its wait had ended (2.5 s for the lead, 9 s for the others), nobody read beside it, and the next lead began with the same patience, on a connection that stood. Fix: a read is overdue by the store's usual answer times, and a second one goes out on a new connection. The lead tells watchers of each answer and when the next is due; a watcher that misses it reads, and has further daemons read, three times as many in each tenth of a second. Who is answered reads on until a lead is. A long poll is doubted when another daemon sends what it should have returned. A read costs the mesh the same whoever makes it: the long polls of the other readers are longer, those of the lead shorter.

--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -68,6 +68,7 @@
 from ._rollouts import HostedRollouts
 from ._settings import HostedSettings
 from ._versions import AcceptedVersions
+from ._watch import WATCH_MESSAGES, StoreWatch
 
 __all__ = ["build_hosted_daemon"]
 
@@ -215,6 +216,7 @@
                 {
                     **MEMBERSHIP_MESSAGES,
                     **RELAY_MESSAGES,
+                    **WATCH_MESSAGES,
                     **DIRECTORY_MESSAGES,
                     **ROLLOUT_MESSAGES,
                     **QUOTA_MESSAGES,
@@ -297,6 +299,19 @@
             newest_order=lambda: rollouts.newest_order,
         )
 
+        watch = StoreWatch(
+            feeding=feeding,
+            follower=follower,
+            members=members,
+            port=port,
+            versions=self._versions,
+            relay=relay,
+            age=age,
+            timers=self._timers,
+            seed=self._random,
+            log=self._log,
+        )
+
         def note_met() -> None:
             targets.settle()
             caps.settle()
@@ -317,7 +332,7 @@
         store.on_change(directory.note_era)
         readiness = Readiness(self._platform.readiness_path, self._versions, log=self._log)
         services = await self._open_services(
-            targets, readiness, dispatcher, members, caps, follower
+            targets, readiness, dispatcher, members, caps, follower, watch
         )
 
         return HostedDaemon(
@@ -330,6 +345,7 @@
             members=members,
             versions=self._versions,
             follower=follower,
+            watch=watch,
             feeding=feeding,
             relay=relay,
             rollouts=rollouts,
@@ -443,6 +459,7 @@
         members: Membership,
         caps: ConnectedCaps,
         follower: StoreFollower,
+        watch: StoreWatch,
     ) -> tuple[HttpService, ...]:
         """Open the HTTP services that the platform uses."""
         settings = self._settings
@@ -451,6 +468,7 @@
             members=members,
             store=self._store,
             follower=follower,
+            watch=watch,
             dispatcher=dispatcher,
             budgets=self._budgets,
             targets=targets,
--- a/packages/hosted/src/acaciayard_hosted/_daemon.py
+++ b/packages/hosted/src/acaciayard_hosted/_daemon.py
@@ -4,6 +4,7 @@
 
 from typing import Final
 
+import anyio
 import anyio.abc
 import structlog
 from attrs import define
@@ -26,6 +27,7 @@
 from ._rollouts import HostedRollouts
 from ._settings import HostedSettings
 from ._versions import AcceptedVersions
+from ._watch import StoreWatch
 
 __all__ = ["HostedDaemon"]
 
@@ -65,6 +67,8 @@
     versions: AcceptedVersions
     #: Follows the store.
     follower: StoreFollower
+    #: Watches whether the store answers the lead.
+    watch: StoreWatch
     #: Selects the daemons that read the store.
     feeding: Feeding
     #: Distributes versions between daemons.
@@ -114,7 +118,9 @@
         """Follow the store, once those that were met first were asked for their version."""
         await self.directory.first_look()
         self.feeding.look()
-        await self.follower.run()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.watch.run)
+            await self.follower.run()
 
     async def stop(self) -> int:
         """Shut down gracefully; returns how many calls were cut off.
--- a/packages/hosted/src/acaciayard_hosted/_eras.py
+++ b/packages/hosted/src/acaciayard_hosted/_eras.py
@@ -110,13 +110,13 @@
         return result
 
     async def changes(
-        self, stream: str, *, start: int, wait: float
+        self, stream: str, *, start: int, wait: float, is_fresh: bool = False
     ) -> KeyedSlice | Expired | Unavailable:
         era_at_request = self._era
         if era_at_request is not None and era_of(start) != era_at_request:
             start_of_era = position_of(era=era_at_request, offset=0)
             return Expired(Bounds(first=start_of_era, head=start_of_era))
-        result = await self._store.changes(stream, start=start, wait=wait)
+        result = await self._store.changes(stream, start=start, wait=wait, is_fresh=is_fresh)
         match result:
             case KeyedSlice(next_offset=position) | Expired(Bounds(first=position)):
                 if not self._accept_position(position, era_at_request):
--- a/packages/hosted/src/acaciayard_hosted/_follower.py
+++ b/packages/hosted/src/acaciayard_hosted/_follower.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Final
 
 import anyio
@@ -24,21 +23,27 @@
 
 from ._age import ConfigurationAge
 from ._feeding import Feeding
+from ._store_reads import ReadAnswer, StoreReads
 from ._versions import AcceptedVersions
 
 __all__ = ["StoreFollower", "StoreKey"]
 
-#: Seconds that one long poll of the lead daemon waits for new records. Each read has its cost; but
-#: a read that an unresponsive store or a network partition has swallowed is noticed only a second
-#: after its wait has ended, and versions written after the outage must be in force three seconds
-#: after its end.
-_LEAD_WAIT: Final = 1.5
-#: The same for the readers of the other failure domains, to which the lead daemon forwards what it
-#: reads. Six readers that poll every 1.5 s make an estimated 240 calls a minute; this wait takes
-#: under 90 (`test_version_mesh`).
-_STANDBY_WAIT: Final = 8.0
-#: The same after a failed read, until this many reads in a row were answered.
-_WAIT_AFTER_FAILURE: Final = 0.8
+#: Reads of the lead in a minute of calm with no other reader. Each read has its cost, but a version
+#: that is written while the lead's connection is silent waits for the next one.
+_LEAD_READS_PER_MINUTE: Final = 40.0
+#: Seconds that one long poll of a reader of another failure domain waits for new records. Nobody
+#: relies on its end: the lead and those who watch it read again long before.
+_STANDBY_WAIT: Final = 28.0
+#: Further reads of the lead in a minute for each other reader. The mesh makes no more reads than if
+#: these polled each 8 s.
+_READS_PER_STANDBY: Final = 5.0
+#: Seconds that one long poll of the lead waits for a while after a version or a failed read, and
+#: for how long after a version. Changes come in series.
+_ACTIVE_WAIT: Final = 0.7
+_ACTIVE_SECONDS: Final = 5.0
+#: Shortest wait of the lead, in seconds, where the store is slow to answer.
+_MIN_LEAD_WAIT: Final = 0.3
+#: Reads in a row that must be answered after a failed one until the waits are as usual.
 _ANSWERS_TO_TRUST: Final = 5
 #: Seconds between a new version and the next read: versions that follow in quick succession are
 #: read together. It is about a quarter of the two seconds in which a version must be in force.
@@ -99,13 +104,19 @@
         self._random = seed
         self._log = log
         self._age = age
-        self._reads: Counter[tuple[str, str]] = Counter()
+        self._reads = StoreReads(store, place.stream, timers=timers, log=log)
         self._failures = 0
         self._unavailable_since = 0.0
         self._answers_in_a_row = _ANSWERS_TO_TRUST
         self._own_next_offset: int | None = None
+        #: Whether the next poll uses a new connection.
+        self._distrusts_kept = False
+        #: Seconds that the next poll waits as others were told, `None` if they were not.
+        self._told_wait: float | None = None
         self._on_record = on_record
         self._newest_order = newest_order
+        self._on_answer: list[Callable[[], None]] = []
+        self._on_confirmed: list[Callable[[float], None]] = []
 
     @property
     def age(self) -> ConfigurationAge:
@@ -113,8 +124,8 @@
         return self._age
 
     @property
-    def reads(self) -> Mapping[tuple[str, str], int]:
-        """Number of reads so far, by role of this daemon and outcome."""
+    def reads(self) -> StoreReads:
+        """The reads of this daemon."""
         return self._reads
 
     @property
@@ -122,16 +133,41 @@
         """Whether the last request to the store went unanswered."""
         return self._failures > 0
 
+    def on_answer(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each answer of the store to this daemon."""
+        self._on_answer.append(listener)
+
+    def on_confirmed(self, listener: Callable[[float], None]) -> None:
+        """Call `listener` after each answer to a daemon that others rely on.
+
+        It is called with the seconds within which the next answer is due.
+        """
+        self._on_confirmed.append(listener)
+
     async def run(self) -> None:
         """Follow the store; never returns."""
         while True:
             await self._wait_until_needed()
             if self._next_offset() is None:
                 self._note_unused_position()
-                await self._read_newest()
+                if not await self._read_newest():
+                    await self._pause_after_failure()
             else:
                 await self._follow()
 
+    async def look(self) -> bool:
+        """Read what the store has now, on a new connection; returns whether it has answered."""
+        start = self._next_offset()
+        if start is None:
+            return await self._read_newest()
+        match await self._reads.look(start):
+            case KeyedSlice() as found:
+                self._take(found)
+                return True
+            case Expired():
+                return await self._read_newest()
+        return False
+
     async def _wait_until_needed(self) -> None:
         """Return once this daemon is to read the store.
 
@@ -142,6 +178,8 @@
             return
         await self._feeding.wait_until_feeder()
 
+    # --- positions ----------------------------------------------------------------------------
+
     def _announced_offset(self) -> int | None:
         """The position that was sent with the version in force, `None` if it is of no use.
 
@@ -174,15 +212,17 @@
                 known_order=offset_of(self._newest_order()),
             )
 
-    async def _read_newest(self) -> None:
-        """Read the newest records and the position to continue from."""
+    # --- reading ------------------------------------------------------------------------------
+
+    async def _read_newest(self) -> bool:
+        """Read the newest records and the position to continue from; returns whether it worked."""
         match await self._store.newest(self._place.stream):
             case KeyedSlice() as found:
-                self._on_answer()
-                self._own_next_offset = found.next_offset
-                self._process(found)
+                self._take(found, is_whole=True)
+                return True
             case Unavailable(reason):
-                await self._on_unavailable(reason)
+                self._note_unavailable(reason)
+        return False
 
     async def _follow(self) -> None:
         """Poll the store until another daemon is the feeder, or no position is known."""
@@ -194,11 +234,9 @@
                 case None:
                     continue
                 case KeyedSlice() as found:
-                    self._on_answer()
-                    self._own_next_offset = found.next_offset
-                    if self._process(found):
-                        batch = _LEAD_BATCH_DELAY if self._feeding.is_lead else _STANDBY_BATCH_DELAY
-                        await self._timers.sleep(batch)
+                    delay = self._batch_delay() if self._take(found) else 0.0
+                    self._confirm(delay)
+                    await self._timers.sleep(delay)
                 case Expired(bounds):
                     self._log.info(
                         "store_history_dropped",
@@ -207,30 +245,83 @@
                         era=era_of(start) or None,
                         era_now=era_of(bounds.first) or None,
                     )
-                    await self._read_newest()
-                    await self._timers.sleep(_REREAD_DELAY)
+                    if await self._read_newest():
+                        self._confirm(_REREAD_DELAY)
+                        await self._timers.sleep(_REREAD_DELAY)
+                    else:
+                        await self._pause_after_failure()
                 case Unavailable(reason):
-                    await self._on_unavailable(reason)
-
-    async def _poll(self, start: int) -> KeyedSlice | Expired | Unavailable | None:
-        """Poll once; returns `None` if cancelled because this daemon now leads."""
-        wait = _LEAD_WAIT if self._feeding.is_lead else _STANDBY_WAIT
+                    self._note_unavailable(reason)
+                    await self._pause_after_failure()
+
+    def _batch_delay(self) -> float:
+        return _LEAD_BATCH_DELAY if self._feeding.polls_often else _STANDBY_BATCH_DELAY
+
+    def _confirm(self, delay: float) -> None:
+        """Tell that the store has answered, and when it will again if nothing is wrong."""
+        if self._feeding.polls_often:
+            self._told_wait = self._next_wait()
+            within = delay + self._told_wait + self._reads.times.overdue_after
+            for listener in self._on_confirmed:
+                listener(within)
+
+    def _next_wait(self) -> float:
+        """Seconds that the next poll waits."""
         if self._answers_in_a_row < _ANSWERS_TO_TRUST:
-            wait = _WAIT_AFTER_FAILURE
-        result: KeyedSlice | Expired | Unavailable | None = None
+            return _ACTIVE_WAIT
+        if not self._feeding.polls_often:
+            return _STANDBY_WAIT
+        newest = self._versions.newest
+        since = self._timers.now() - newest.since if newest is not None else _ACTIVE_SECONDS
+        if since < _ACTIVE_SECONDS:
+            wait = _ACTIVE_WAIT - max(0.0, _LEAD_BATCH_DELAY - since)
+        else:
+            standbys = self._feeding.reader_count - 1
+            wait = 60.0 / (_LEAD_READS_PER_MINUTE + _READS_PER_STANDBY * standbys)
+        return max(_MIN_LEAD_WAIT, wait - self._reads.times.slowness)
+
+    async def _poll(self, start: int) -> ReadAnswer | None:
+        """Poll once; returns `None` if the poll was broken off."""
+        wait = self._told_wait if self._told_wait is not None else self._next_wait()
+        is_fresh = self._distrusts_kept
+        self._told_wait, self._distrusts_kept = None, False
+        result: ReadAnswer | None = None
         async with anyio.create_task_group() as tasks:
-            if wait > _LEAD_WAIT:
-                tasks.start_soon(self._cancel_when_lead, tasks.cancel_scope)
-            result = await self._store.changes(self._place.stream, start=start, wait=wait)
+            if not self._feeding.polls_often:
+                tasks.start_soon(self._cancel_when_relied_on, tasks.cancel_scope)
+            tasks.start_soon(self._cancel_when_passed, start, tasks.cancel_scope)
+            result = await self._reads.poll(start, wait=wait, is_fresh=is_fresh)
             tasks.cancel_scope.cancel()
         return result
 
-    async def _cancel_when_lead(self, scope: anyio.CancelScope) -> None:
-        while not self._feeding.is_lead:
+    async def _cancel_when_relied_on(self, scope: anyio.CancelScope) -> None:
+        """Break off a long poll once others rely on the reads of this daemon."""
+        while not self._feeding.polls_often:
             await self._feeding.changed.wait()
+        self._distrusts_kept = True
+        scope.cancel()
+
+    async def _cancel_when_passed(self, start: int, scope: anyio.CancelScope) -> None:
+        """Break off a poll that should have been answered: another daemon sent what is beyond.
+
+        A long poll that has nothing to tell looks like one whose connection has gone silent.
+        """
+        seen = self._versions.changed.count
+        while (offset := self._announced_offset()) is None or not _is_beyond(offset, start):
+            seen = await self._versions.changed.wait_beyond(seen)
+        await self._timers.sleep(self._reads.times.overdue_after)
+        self._log.info(
+            "store_read_overdue", reason="another daemon sent what is beyond", position=start
+        )
+        self._distrusts_kept = True
         scope.cancel()
 
-    def _process(self, found: KeyedSlice) -> bool:
+    def _take(self, found: KeyedSlice, *, is_whole: bool = False) -> bool:
+        """Process the records of an answer; returns whether a version is new."""
+        self._note_answer()
+        own = self._own_next_offset
+        if is_whole or own is None or _is_beyond(found.next_offset, own):
+            self._own_next_offset = found.next_offset
         if found.unreadable:
             self._log.warning("store_records_unreadable", count=found.unreadable)
         # Rollout orders first: a daemon with a configuration serves calls, and must know of them.
@@ -248,17 +339,9 @@
             newest_order=self._newest_order(),
         )
 
-    @property
-    def _role(self) -> str:
-        """Role in which this daemon reads the store, for logs and metrics."""
-        if self._feeding.is_alone:
-            return "alone"
-        if self._feeding.is_lead:
-            return "lead"
-        return "reader" if self._feeding.is_feeder else "other"
-
-    def _on_answer(self) -> None:
-        self._reads[self._role, "answered"] += 1
+    # --- answers and failures -----------------------------------------------------------------
+
+    def _note_answer(self) -> None:
         self._age.note_answer("store")
         if self._failures:
             seconds = round(self._timers.now() - self._unavailable_since, 3)
@@ -266,23 +349,32 @@
             self._feeding.note_store(is_served=True)
         self._failures = 0
         self._answers_in_a_row += 1
+        for listener in self._on_answer:
+            listener()
 
-    async def _on_unavailable(self, reason: str) -> None:
-        self._reads[self._role, "unanswered"] += 1
+    def _note_unavailable(self, reason: str) -> None:
         if not self._failures:
             self._unavailable_since = self._timers.now()
             self._log.warning(
                 "store_lost",
                 reason=reason,
                 version=self._versions.version,
-                role=self._role,
+                role=self._feeding.role,
                 age_s=round(self._age.seconds, 3),
             )
             self._feeding.note_store(is_served=False)
         self._answers_in_a_row = 0
+        self._distrusts_kept = True
+        self._failures += 1
+
+    async def _pause_after_failure(self) -> None:
         first, last = _RETRY_DELAYS
         if self._feeding.is_relieved:
             last = _RELIEVED_RETRY_DELAY
-        pause = min(last, first * 2 ** min(self._failures, 10))
-        self._failures += 1
+        pause = min(last, first * 2 ** min(self._failures - 1, 10))
         await self._timers.sleep(pause * self._random.uniform(0.5, 1.5))
+
+
+def _is_beyond(offset: int, other: int) -> bool:
+    """Whether a position comes after another one of the same era."""
+    return era_of(offset) == era_of(other) and offset > other
--- a/packages/hosted/src/acaciayard_hosted/_gauges.py
+++ b/packages/hosted/src/acaciayard_hosted/_gauges.py
@@ -19,6 +19,7 @@
 from ._logs import BoundedLines
 from ._metrics import Counts, Gauge
 from ._versions import AcceptedVersions
+from ._watch import StoreWatch
 
 __all__ = [
     "GaugeSources",
@@ -42,6 +43,8 @@
     store: EraGuard
     #: Reader of the configuration.
     follower: StoreFollower
+    #: Watches whether the store answers the lead.
+    watch: StoreWatch
     #: Dispatcher of the calls sent from this host.
     dispatcher: Dispatcher
     #: Retry budgets of the services.
@@ -77,6 +80,16 @@
             "Seconds since the store last confirmed the version in force, -1 before the first time",
             lambda: of.follower.age.seconds,
         ),
+        Gauge(
+            "store_reads_overdue",
+            "Reads of the store that were overdue and got a second one beside them",
+            lambda: of.follower.reads.overdue,
+        ),
+        Gauge(
+            "store_doubts",
+            "Times that this daemon missed word of an answer of the store",
+            lambda: of.watch.doubts,
+        ),
         Gauge("members", "Daemons that count as running", lambda: of.members.table.present_count),
         Gauge("retries", "Repeats of calls so far", lambda: of.dispatcher.retries),
         Gauge(
@@ -161,9 +174,9 @@
     return (
         Counts(
             "store_reads",
-            "Reads of the configuration by this daemon, by its role and the outcome",
-            ("role", "outcome"),
-            lambda: of.follower.reads,
+            "Reads of the configuration by this daemon, by kind and outcome",
+            ("kind", "outcome"),
+            lambda: of.follower.reads.outcomes,
         ),
     )
 
--- a/packages/hosted/src/acaciayard_hosted/_relay.py
+++ b/packages/hosted/src/acaciayard_hosted/_relay.py
@@ -143,10 +143,11 @@
         self._replies.clear()
         if len(self._documents) > _MAX_KEPT_DOCUMENTS:
             self._documents.popitem(last=False)
-        if not self._feeding.is_feeder or (before is None and not now.is_first_hand):
+        is_feeder = self._feeding.is_feeder
+        if not now.is_first_hand and (not is_feeder or before is None):
             return
         push = self._make_push(before, now)
-        receivers = self._feeding.audience()
+        receivers = self._feeding.audience() if is_feeder else self._feeding.own_heads()
         if now.is_first_hand:
             receivers.extend(self._feeding.other_heads())
         for member in receivers:
@@ -225,6 +226,10 @@
 
     # --- catching up --------------------------------------------------------------------------
 
+    def note_ahead(self, host: str, version: int) -> None:
+        """Catch up with a daemon if its version is newer."""
+        self._on_position(host, version)
+
     def _on_position(self, host: str, version: int) -> None:
         if version > self._versions.version:
             self._ahead[host] = version
--- /dev/null
+++ b/packages/hosted/src/acaciayard_hosted/_watch.py
@@ -0,0 +1,292 @@
+"""Bounds the age of the configuration: daemons that watch the lead read the store beside it.
+
+The lead tells a few watchers each answer of the store, and within which time the next one is due.
+A watcher that misses it does not wait for the lead's own verdict: it reads the store itself, on a
+new connection, each watcher a little later than the one before. If the store does not answer the
+watchers either, they ask further daemons to read, three times as many in each step, until one is
+answered. That one reads on as a substitute, and tells the watchers as a lead does. So the age is
+bounded by the times in this module, whoever fails, as long as the store answers any daemon.
+
+    0 s                    an answer to the lead; the next one is due within 1.3 s
+    1.3 s                  the lead's next read is overdue; it reads again on a new connection
+    1.4, 1.45, 1.5 s       the watchers read, unless they have heard of an answer
+    1.5 s and each 0.1 s   3, 9, 27 ... further daemons read
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from typing import Final
+
+import anyio
+import anyio.abc
+import structlog
+from attrs import field, frozen
+from attrs.validators import ge
+
+from acaciayard_membership import Member, Membership
+from acaciayard_timers import TimerService
+from acaciayard_wire import Address, ControlPort
+
+from ._age import ConfigurationAge
+from ._feeding import Feeding
+from ._follower import StoreFollower
+from ._relay import VersionRelay
+from ._versions import AcceptedVersions
+
+__all__ = ["WATCH_MESSAGES", "StoreWatch"]
+
+#: Seconds after the time at which an answer was due until the first watcher reads, and between two
+#: watchers. The second read of the lead is usually answered in between.
+_FIRST_TURN: Final = 0.1
+_TURN_INTERVAL: Final = 0.05
+#: The same for the lead itself, whose own second read goes out at once.
+_LEAD_TURN: Final = 0.3
+#: Seconds until the next answer of a watcher is due, which reads once only.
+_WATCH_INTERVAL: Final = 0.8
+#: Seconds that a daemon that begins to watch waits for the first word of the lead.
+_NEW_WATCHER_GRACE: Final = 0.5
+#: Seconds between two steps in which further daemons are asked, and how many times as many daemons
+#: each step asks, starting with this number.
+_STEP_INTERVAL: Final = 0.1
+_STEP_FACTOR: Final = 3
+#: Daemons that one daemon asks in a second while the store has answered nobody for a whole round:
+#: the store gets few requests when it returns.
+_ASKED_PER_SECOND: Final = 12.0
+#: Seconds that one round of asking lasts, and between two rounds.
+_ROUND_SECONDS: Final = 1.0
+_ROUND_INTERVAL: Final = 0.5
+#: Seconds within which a daemon that was asked again does not read again.
+_MIN_LOOK_INTERVAL: Final = 0.8
+#: Delay of a timer, in seconds, from which the process counts as paused, and the time it is given
+#: to read what has arrived meanwhile.
+_LATE_WAKE: Final = 0.05
+
+
+@frozen
+class StoreAnswered:
+    """A datagram that tells that the store has answered the sender just now."""
+
+    #: Version that the sender has in force.
+    version: int
+    #: Milliseconds within which the sender will send the next one.
+    within_ms: int = field(validator=ge(0))
+
+
+@frozen
+class ReadRequest:
+    """A datagram that asks a daemon to read the store, since it does not answer the sender."""
+
+    #: Version that the sender has in force.
+    version: int
+
+
+WATCH_MESSAGES: Final[dict[int, type]] = {
+    64: StoreAnswered,
+    65: ReadRequest,
+}
+
+
+class StoreWatch:
+    """Reads the store, or has others read it, once the answers of the lead are overdue.
+
+    Example:
+        watch = StoreWatch(feeding=feeding, follower=follower, ...)
+        tasks.start_soon(watch.run)
+    """
+
+    def __init__(
+        self,
+        *,
+        feeding: Feeding,
+        follower: StoreFollower,
+        members: Membership,
+        port: ControlPort,
+        versions: AcceptedVersions,
+        relay: VersionRelay,
+        age: ConfigurationAge,
+        timers: TimerService,
+        seed: random.Random,
+        log: structlog.typing.FilteringBoundLogger,
+    ) -> None:
+        self._feeding = feeding
+        self._follower = follower
+        self._members = members
+        self._port = port
+        self._versions = versions
+        self._relay = relay
+        self._age = age
+        self._timers = timers
+        self._random = seed
+        self._log = log
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._due = timers.now() + _ROUND_SECONDS
+        self._confirmed_at = timers.now()
+        self._confirmed = anyio.Event()
+        self._looked_at = timers.now() - _MIN_LOOK_INTERVAL
+        #: Whether this daemon reads when the next answer is overdue. One that led or watched stays
+        #: obliged until it has heard of an answer: its successors may not know that they are.
+        self._is_obliged = False
+        self._doubts = 0
+        self._failed_rounds = 0
+        follower.on_answer(self._note_own_answer)
+        follower.on_confirmed(self._announce)
+        port.on_datagram(StoreAnswered, self._on_answered)
+        port.on_datagram(ReadRequest, self._on_request)
+
+    @property
+    def doubts(self) -> int:
+        """Number of times that this daemon has missed an answer of the store."""
+        return self._doubts
+
+    # --- telling ------------------------------------------------------------------------------
+
+    def _announce(self, within: float) -> None:
+        """Tell those who watch that the store has answered this daemon."""
+        told = StoreAnswered(self._versions.version, round(within * 1000))
+        for member in self._feeding.watch_audience():
+            self._port.send_datagram(told, member.control)
+        self._note_confirmed(within + _LEAD_TURN)
+
+    def _on_answered(self, told: StoreAnswered, sender: Address) -> None:
+        member = self._member_at(sender)
+        if member is None:
+            return
+        self._age.note_answer(f"peer {sender.ip}")
+        self._note_confirmed(told.within_ms / 1000 + self._turn())
+        self._feeding.note_lead_served(member.host)
+        self._relay.note_ahead(member.host, told.version)
+
+    def _note_confirmed(self, seconds: float) -> None:
+        """Record an answer of the store; the next one is due within `seconds`."""
+        self._confirmed_at = self._timers.now()
+        self._due = self._confirmed_at + seconds
+        self._is_obliged = self._is_relied_on()
+        self._failed_rounds = 0
+        self._confirmed.set()
+        self._confirmed = anyio.Event()
+
+    def _note_own_answer(self) -> None:
+        """The age is known for a moment, even if nothing is heard of the lead."""
+        turn = _WATCH_INTERVAL + self._turn()
+        self._note_confirmed(max(turn, self._due - self._timers.now()))
+
+    def _member_at(self, address: Address) -> Member | None:
+        others = self._members.table.others()
+        return next((member for member in others if member.control == address), None)
+
+    def _turn(self) -> float:
+        """Seconds after an answer was due at which this daemon reads."""
+        own = self._members.table.own.host
+        for number, member in enumerate(self._feeding.watchers):
+            if member.host == own:
+                return _FIRST_TURN + number * _TURN_INTERVAL
+        return _LEAD_TURN
+
+    # --- watching -----------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Watch the lead; never returns."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            while True:
+                selections = self._feeding.selections.count
+                due = self._next_due()
+                with self._timers.timeout(due - self._timers.now()):
+                    await self._feeding.selections.wait_beyond(selections)
+                if self._timers.now() - due > _LATE_WAKE:
+                    await self._timers.sleep(_LATE_WAKE)
+                if self._timers.now() >= self._next_due():
+                    await self._doubt()
+
+    def _next_due(self) -> float:
+        """When this daemon reads if nothing is heard until then."""
+        if self._is_relied_on() and not self._is_obliged:
+            self._is_obliged = True
+            self._due = self._timers.now() + _NEW_WATCHER_GRACE
+        if self._is_obliged:
+            return self._due
+        return math.inf
+
+    def _is_relied_on(self) -> bool:
+        own = self._members.table.own.host
+        is_watcher = any(member.host == own for member in self._feeding.watchers)
+        return is_watcher or self._feeding.polls_often
+
+    async def _doubt(self) -> None:
+        """Read the store, and have others read it, until anyone is answered or the round ends."""
+        self._doubts += 1
+        began = self._timers.now()
+        lead = self._feeding.lead
+        self._log.info(
+            "store_doubted",
+            lead=lead.host if lead is not None else None,
+            role=self._feeding.role,
+            overdue_s=round(began - self._confirmed_at, 3),
+            age_s=round(self._age.seconds, 3),
+            round=self._failed_rounds,
+        )
+        with self._timers.timeout(_ROUND_SECONDS):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._look)
+                if self._is_obliged:
+                    tasks.start_soon(self._ask_others)
+                await self._confirmed.wait()
+                tasks.cancel_scope.cancel()
+        if self._confirmed_at < began:
+            self._failed_rounds += 1
+            self._due = self._timers.now() + _ROUND_INTERVAL * self._random.uniform(0.5, 1.5)
+
+    async def _look(self) -> bool:
+        self._looked_at = self._timers.now()
+        is_answered = await self._follower.look()
+        if is_answered:
+            self._log.info("store_answered_beside", role=self._feeding.role)
+            self._announce(_WATCH_INTERVAL)
+        return is_answered
+
+    async def _ask_others(self) -> None:
+        """Ask further daemons to read, more of them in each step."""
+        await self._timers.sleep(self._follower.reads.times.overdue_after)
+        left = self._others_to_ask()
+        count = float(_STEP_FACTOR)
+        is_first_round = self._failed_rounds == 0
+        while left:
+            if not is_first_round:
+                count = _ASKED_PER_SECOND * _STEP_INTERVAL
+            asked, left = left[: max(1, round(count))], left[max(1, round(count)) :]
+            for member in asked:
+                self._port.send_datagram(ReadRequest(self._versions.version), member.control)
+            self._log.info("store_read_asked_for", asked=len(asked), left=len(left))
+            count *= _STEP_FACTOR
+            await self._timers.sleep(_STEP_INTERVAL)
+
+    def _others_to_ask(self) -> list[Member]:
+        """Daemons that neither lead nor watch, in a random order, those served before first."""
+        known = {member.host for member in self._feeding.watchers}
+        lead = self._feeding.lead
+        others = [
+            member
+            for member in self._members.table.others()
+            if member.host not in known and member is not lead
+        ]
+        self._random.shuffle(others)
+        others.sort(key=lambda member: not member.has_store_access)
+        return others
+
+    # --- reading for others -------------------------------------------------------------------
+
+    def _on_request(self, request: ReadRequest, sender: Address) -> None:
+        member = self._member_at(sender)
+        if member is not None:
+            self._relay.note_ahead(member.host, request.version)
+        is_recent = self._timers.now() - self._looked_at < _MIN_LOOK_INTERVAL
+        if self._tasks is not None and member is not None and not is_recent:
+            self._tasks.start_soon(self._read_for, member)
+
+    async def _read_for(self, member: Member) -> None:
+        """Read the store since it does not answer `member`, and go on if it answers here."""
+        if await self._look():
+            self._log.info("store_read_for", asked_by=member.host)
+            self._feeding.substitute()
--- a/packages/hosted/tests/keyed_standin.py
+++ b/packages/hosted/tests/keyed_standin.py
@@ -102,7 +102,7 @@
         return KeyedSlice(tuple(newest.values()), self._position(len(records)))
 
     async def changes(
-        self, stream: str, *, start: int, wait: float
+        self, stream: str, *, start: int, wait: float, is_fresh: bool = False
     ) -> KeyedSlice | Expired | Unavailable:
         self.calls += 1
         if self.is_down:
--- a/packages/hosted/tests/test_eras.py
+++ b/packages/hosted/tests/test_eras.py
@@ -71,7 +71,7 @@
         return result
 
     async def changes(
-        self, stream: str, *, start: int, wait: float
+        self, stream: str, *, start: int, wait: float, is_fresh: bool = False
     ) -> KeyedSlice | Expired | Unavailable:
         result = await self._store.changes(stream, start=start, wait=wait)
         await self._held()
--- a/packages/hosted/tests/test_versions.py
+++ b/packages/hosted/tests/test_versions.py
@@ -32,8 +32,10 @@
 
     is_feeder = True
     is_lead = True
+    polls_often = True
+    reader_count = 1
+    role = "lead"
     is_relieved = False
-    is_alone = False
 
     async def wait_until_feeder(self) -> None:
         """Return at once."""
--- a/packages/hosted/tests/version_mesh.py
+++ b/packages/hosted/tests/version_mesh.py
@@ -21,6 +21,7 @@
 from acaciayard_hosted._eras import EraGuard
 from acaciayard_hosted._feeding import Feeding
 from acaciayard_hosted._relay import RELAY_MESSAGES, VersionRelay
+from acaciayard_hosted._watch import WATCH_MESSAGES, StoreWatch
 from acaciayard_logservice import (
     Appended,
     AppendUnknown,
@@ -48,7 +49,13 @@
 __all__ = ["VersionMesh"]
 
 PLACE = StoreKey("stream", "config")
-MESSAGES = {**MEMBERSHIP_MESSAGES, **RELAY_MESSAGES, **DIRECTORY_MESSAGES, **ROLLOUT_MESSAGES}
+MESSAGES = {
+    **MEMBERSHIP_MESSAGES,
+    **RELAY_MESSAGES,
+    **DIRECTORY_MESSAGES,
+    **ROLLOUT_MESSAGES,
+    **WATCH_MESSAGES,
+}
 #: Latency of the store in seconds, and the period in seconds within which all hosts start.
 _LATENCY = 0.004
 _STARTS = 0.3
@@ -223,7 +230,7 @@
         """Start a daemon."""
         seed = random.Random(self._seed.random())
         timers = self.timers
-        log = structlog.wrap_logger(structlog.testing.CapturingLogger())
+        log = structlog.wrap_logger(structlog.testing.CapturingLogger(), host=host)
         codec = MessageCodec(MESSAGES)
         port = FakePort(self.network, codec=codec, ip=ip)
         own = Member(host, incarnation, 0, MemberState.ALIVE, domain, ip, port.address.port, 0, 0)
@@ -295,13 +302,27 @@
             on_record=rollouts.take_record,
             newest_order=lambda: rollouts.newest_order,
         )
+        watch = StoreWatch(
+            feeding=feeding,
+            follower=follower,
+            members=members,
+            port=port,
+            versions=versions,
+            relay=relay,
+            age=age,
+            timers=timers,
+            seed=seed,
+            log=log,
+        )
         daemon = Daemon(members, versions, feeding, book, port, seen, follower)
         versions.on_version(lambda _before, now: self.on_version(host, now.configuration.version))
 
         async def follow() -> None:
             await directory.first_look()
             feeding.look()
-            await follower.run()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(watch.run)
+                await follower.run()
 
         async def run() -> None:
             await timers.sleep(seed.uniform(0, _STARTS))
--- a/packages/logservice/src/acaciayard_logservice/_interface.py
+++ b/packages/logservice/src/acaciayard_logservice/_interface.py
@@ -99,10 +99,12 @@
 
 @frozen
 class Unavailable:
-    """The log did not answer."""
+    """The log did not answer, or only that it does not serve the request."""
 
     #: Why.
     reason: str
+    #: Whether the log has answered: asking again at once, on another connection, is of no use.
+    is_refusal: bool = False
 
 
 @frozen
@@ -151,9 +153,12 @@
 
     @abstractmethod
     async def changes(
-        self, stream: str, *, start: int, wait: float
+        self, stream: str, *, start: int, wait: float, is_fresh: bool = False
     ) -> KeyedSlice | Expired | Unavailable:
-        """Records from offset `start` on; waits up to `wait` seconds for the first."""
+        """Records from offset `start` on; waits up to `wait` seconds for the first.
+
+        With `is_fresh` the request goes out on a new connection.
+        """
 
 
 class LogService(ABC):
--- a/packages/membership/src/acaciayard_membership/_detector.py
+++ b/packages/membership/src/acaciayard_membership/_detector.py
@@ -74,7 +74,8 @@
         self._seed = seed
         self._position = position
         self._probe_numbers = itertools.count(1)
-        self._pending_probes: dict[int, anyio.Event] = {}
+        #: Probes without an ack, with the host probed, by number.
+        self._pending_probes: dict[int, tuple[str, anyio.Event]] = {}
         self._relayed_probes: dict[int, tuple[int, Address]] = {}
         self._probe_order: list[str] = []
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -129,7 +130,7 @@
         pauses = self._pause.pauses
         number = next(self._probe_numbers)
         acked = anyio.Event()
-        self._pending_probes[number] = acked
+        self._pending_probes[number] = (member.host, acked)
         try:
             self._send_probe(number, member.control, member)
             if await self._wait_for_ack(
@@ -185,22 +186,27 @@
                 listener(sender)
         if prober is not None and prober.state != MemberState.ALIVE:
             updates.insert(0, self._table.packed(probe.host))
-        own = self._table.own.host
-        ack = Ack(probe.number, own, self._position(), updates, self._table.summary)
+        ack = Ack(probe.number, "", self._position(), updates, self._table.summary)
         self._port.send_datagram(ack, sender)
 
-    def _on_ack(self, ack: Ack, _sender: Address) -> None:
+    def _on_ack(self, ack: Ack, sender: Address) -> None:
         relay = self._relayed_probes.pop(ack.number, None)
         if relay is not None:
             number, requester = relay
-            self._port.send_datagram(Ack(number, ack.host, ack.position, []), requester)
-        self._process_piggyback(ack.host, ack.position, ack.updates)
-        self._compare_tables(ack)
-        pending = self._pending_probes.get(ack.number)
-        if pending is not None:
-            pending.set()
-
-    def _compare_tables(self, ack: Ack) -> None:
+            self._port.send_datagram(Ack(number, "", ack.position, []), requester)
+        host, acked = self._pending_probes.get(ack.number, ("", None))
+        host = host or self._host_at(sender)
+        self._process_piggyback(host, ack.position, ack.updates)
+        self._compare_tables(ack, host)
+        if acked is not None:
+            acked.set()
+
+    def _host_at(self, address: Address) -> str:
+        """The host at an address, for acks that come late or for a relayed probe."""
+        others = self._table.others()
+        return next((member.host for member in others if member.control == address), "")
+
+    def _compare_tables(self, ack: Ack, host: str) -> None:
         """Detect that an update has not reached this daemon or the one that answers.
 
         Updates are passed on at random, and one in ten misses one or two daemons of 195.  While
@@ -209,7 +215,7 @@
         is_quiescent = self._gossip.is_empty and not ack.updates
         differs = is_quiescent and ack.summary not in (0, self._table.summary)
         self._mismatches = self._mismatches + 1 if differs else 0
-        member = self._table.find(ack.host)
+        member = self._table.find(host)
         if member is not None and self._mismatches >= _MISMATCHES_TO_REPORT:
             self._mismatches = 0
             for listener in self._mismatch_listeners:
--- a/packages/membership/src/acaciayard_membership/_messages.py
+++ b/packages/membership/src/acaciayard_membership/_messages.py
@@ -49,7 +49,7 @@
 
     #: Number of the probe.
     number: int
-    #: Host that answers.
+    #: Host that answers; empty, since the number tells it to the sender of the probe.
     host: str
     #: Log position that it holds.
     position: int
