A host that hears of no other daemon reads the store after 1.2 s

Callers saw: a host that is cut off from all other daemons, but not from the store, handles calls by a version that was replaced over two seconds before. Cause: it took itself for isolated after 2 s without word of anybody, and began to read with the next selection of readers, up to 0.25 s later: past the bound by design. Fix: it reads once 1.2 s after the last datagram of another daemon, each of which normally arrives several times a second, and goes on as before if nothing is heard. It still leads only after 2 s.

--- a/packages/hosted/src/acaciayard_hosted/_watch.py
+++ b/packages/hosted/src/acaciayard_hosted/_watch.py
@@ -11,11 +11,12 @@
     1.3 s                  the lead's next read is overdue; it reads again on a new connection
     1.4, 1.45, 1.5 s       the watchers read, unless they have heard of an answer
     1.5 s and each 0.1 s   3, 9, 27 ... further daemons read
+
+A daemon that hears of no other daemon reads for itself.
 """
 
 from __future__ import annotations
 
-import math
 import random
 from typing import Final
 
@@ -47,6 +48,8 @@
 _WATCH_INTERVAL: Final = 0.8
 #: Seconds that a daemon that begins to watch waits for the first word of the lead.
 _NEW_WATCHER_GRACE: Final = 0.5
+#: Seconds without word of any other daemon after which a daemon reads for itself.
+_CONTACT_TIMEOUT: Final = 1.2
 #: Seconds between two steps in which further daemons are asked, and how many times as many daemons
 #: each step asks, starting with this number.
 _STEP_INTERVAL: Final = 0.1
@@ -121,7 +124,7 @@
         self._random = seed
         self._log = log
         self._tasks: anyio.abc.TaskGroup | None = None
-        self._due = timers.now() + _ROUND_SECONDS
+        self._due = timers.now() + _ROUND_SECONDS + _CONTACT_TIMEOUT
         self._confirmed_at = timers.now()
         self._confirmed = anyio.Event()
         self._looked_at = timers.now() - _MIN_LOOK_INTERVAL
@@ -207,7 +210,7 @@
             self._due = self._timers.now() + _NEW_WATCHER_GRACE
         if self._is_obliged:
             return self._due
-        return math.inf
+        return max(self._due, self._feeding.heard_at + _CONTACT_TIMEOUT)
 
     def _is_relied_on(self) -> bool:
         own = self._members.table.own.host
--- a/packages/hosted/tests/test_configuration_age.py
+++ b/packages/hosted/tests/test_configuration_age.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import unittest
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 from age_record import AgeRecord
@@ -119,6 +119,31 @@
         }
         self.assertEqual(wrong, {})
 
+    def run_mesh(
+        self, body: Callable[[VersionMesh], Awaitable[None]], *, count: int = 9, seed: int = 1
+    ) -> None:
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                mesh = VersionMesh(tasks, count=count, domains=3, seed=seed)
+                mesh.publish(1)
+                await mesh.timers.advance(5.0)
+                await body(mesh)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+    def test_host_cut_off_from_all_others_reads_in_time(self) -> None:
+        """Guards against an age that grows until a host takes itself for isolated."""
+
+        async def body(mesh: VersionMesh) -> None:
+            host = next(host for host in mesh.daemons if host not in mesh.readers)
+            mesh.network.cut_off({mesh.daemons[host].port.ip})
+            mesh.publish(2)
+            self.assertLess(await mesh.in_force_within(2, BOUND), BOUND)
+
+        for seed in range(1, 6):
+            self.run_mesh(body, seed=seed)
+
 
 if __name__ == "__main__":
     unittest.main()
