A version reaches a failure domain whose feeder has ended

Callers saw: the hosts of one failure domain handle calls by an old version for seconds after one of them has ended, while all others have the new one. Cause: a version was pushed by datagram to the feeder of each domain, which pushes it on. Until the membership knows that the feeder has ended, 3.5 s and more, its domain heard of versions only by the probes that each daemon happens to exchange. A daemon that read beside the lead pushed what it found to feeders only, and read again each 0.8 s in place of polling. Fix: the feeder of another domain confirms a version that it pushes; where the confirmation is missing after 0.25 s two other daemons of the domain are told to push it, three times at most. Who has read a version pushes it to its own domain itself, and a watcher that the store answers goes on as a substitute. A version costs one more datagram for each other failure domain.

--- a/packages/hosted/src/acaciayard_hosted/_feeding.py
+++ b/packages/hosted/src/acaciayard_hosted/_feeding.py
@@ -173,11 +173,6 @@
         found = (self._members.table.find(host) for host in self._selected_at)
         return [m for m in found if m is not None and m.is_present and m.host != own.host]
 
-    def own_heads(self) -> list[Member]:
-        """The feeder of the own failure domain, if it is another daemon."""
-        own = self._members.table.own
-        return [m for m in self._heads if m.domain == own.domain and m.host != own.host]
-
     def other_heads(self) -> list[Member]:
         """The feeders of the other failure domains."""
         own = self._members.table.own
--- a/packages/hosted/src/acaciayard_hosted/_relay.py
+++ b/packages/hosted/src/acaciayard_hosted/_relay.py
@@ -5,13 +5,14 @@
 import random
 import zlib
 from collections import OrderedDict
+from collections.abc import Iterable, Sequence
 from typing import Final
 
 import anyio
 import structlog
 from attrs import evolve, frozen
 
-from acaciayard_membership import Membership
+from acaciayard_membership import Member, Membership
 from acaciayard_timers import TimerService
 from acaciayard_wire import (
     Address,
@@ -34,6 +35,12 @@
 #: Timeout, in seconds, for asking one daemon; on the thinnest links a whole document takes half of
 #: it.
 _REQUEST_TIMEOUT: Final = 3.0
+#: Seconds within which the feeder of another failure domain confirms that it holds a version.
+#: Otherwise other daemons of that domain are told to push it.
+_CONFIRM_TIMEOUT: Final = 0.25
+#: How often others are told, and how many at once.
+_MAX_DELEGATIONS: Final = 3
+_DELEGATES: Final = 2
 #: Documents that decompress to more bytes are rejected.
 _MAX_DOCUMENT_BYTES: Final = 64 * 1024 * 1024
 #: Largest delta, in bytes, that fits into one datagram.
@@ -90,20 +97,36 @@
     newest_order: int = 0
     #: Age of the sender's configuration in milliseconds, negative if unknown.
     age_ms: int = -1
+    #: Whether the receiver confirms with `VersionHeld`, and pushes the version in its domain.
+    is_for_domain: bool = False
+
+
+@frozen
+class VersionHeld:
+    """A datagram that confirms a version that the sender pushes in its failure domain."""
+
+    #: Its number.
+    version: int
 
 
 RELAY_MESSAGES: Final[dict[int, type]] = {
     60: VersionRequest,
     61: VersionReply,
     62: VersionPush,
+    66: VersionHeld,
 }
 
 
 class VersionRelay:
     """Pushes new versions to other daemons, and pulls versions from daemons that are ahead.
 
+    A daemon that reads a version from the store pushes it to the feeders of the other failure
+    domains, and these to the daemons of their domains. A feeder that does not confirm it in time
+    may have ended or be cut off, and its domain would not hear of the version; then other daemons
+    of the domain are told to push it.
+
     Each probe between daemons carries the version of its sender, so a daemon that is behind learns
-    of it within a second as long as it reaches any other.
+    of it within a second or two as long as it reaches any other.
     """
 
     def __init__(
@@ -130,9 +153,16 @@
         self._is_behind = anyio.Event()
         self._documents: OrderedDict[int, bytes] = OrderedDict()
         self._replies: dict[int, VersionReply] = {}
+        #: The version before the one in force.
+        self._before: AcceptedVersion | None = None
+        #: Newest version that this daemon was told to push in its failure domain, and by whom.
+        self._told_to_push: tuple[int, Address] | None = None
+        #: Failure domains that have confirmed a version that was pushed to them, by version.
+        self._confirmed: dict[int, set[str]] = {}
         members.on_position(self._on_position)
         port.on_stream(VersionRequest, Purpose.SPREAD, self._serve)
         port.on_datagram(VersionPush, self._on_push)
+        port.on_datagram(VersionHeld, self._on_held)
         versions.on_version(self._on_version)
 
     # --- pushing ------------------------------------------------------------------------------
@@ -143,15 +173,72 @@
         self._replies.clear()
         if len(self._documents) > _MAX_KEPT_DOCUMENTS:
             self._documents.popitem(last=False)
-        is_feeder = self._feeding.is_feeder
-        if not now.is_first_hand and (not is_feeder or before is None):
-            return
-        push = self._make_push(before, now)
-        receivers = self._feeding.audience() if is_feeder else self._feeding.own_heads()
+        self._before = before
         if now.is_first_hand:
-            receivers.extend(self._feeding.other_heads())
-        for member in receivers:
-            self._port.send_datagram(push, member.control)
+            self._push(self._feeding.audience())
+            self._push_to_domains(version, self._feeding.other_heads())
+        elif before is not None and self._feeding.is_feeder:
+            self._push(self._feeding.audience())
+        self._confirm_push()
+
+    def _push(self, receivers: Iterable[Member], *, is_for_domain: bool = False) -> None:
+        """Push the version in force."""
+        now = self._versions.newest
+        if now is not None:
+            push = evolve(self._make_push(self._before, now), is_for_domain=is_for_domain)
+            for member in receivers:
+                self._port.send_datagram(push, member.control)
+
+    def _push_to_domains(self, version: int, heads: Sequence[Member]) -> None:
+        """Push a version to other failure domains, and have others push it there if need be."""
+        self._push(heads, is_for_domain=True)
+        self._confirmed = {v: domains for v, domains in self._confirmed.items() if v >= version}
+        self._confirmed[version] = set()
+        if heads:
+            self._delegate_later(version, heads, _MAX_DELEGATIONS)
+
+    def _delegate_later(self, version: int, tried: Sequence[Member], left: int) -> None:
+        due = self._timers.now() + _CONFIRM_TIMEOUT
+        self._timers.call_at(due, lambda: self._delegate(version, tried, left))
+
+    def _delegate(self, version: int, tried: Sequence[Member], left: int) -> None:
+        """Tell other daemons to push a version in the domains that have not confirmed it."""
+        if version != self._versions.version:
+            return  # the next version has gone out, with the same care
+        confirmed = self._confirmed.get(version, set())
+        missing = {member.domain for member in tried} - confirmed
+        hosts = {member.host for member in tried}
+        chosen: list[Member] = []
+        for domain in sorted(missing):
+            others = [m for m in self._members.table.others() if m.domain == domain]
+            untried = [m for m in others if m.host not in hosts] or others
+            chosen.extend(self._random.sample(untried, min(_DELEGATES, len(untried))))
+        if not chosen:
+            return
+        self._log.info(
+            "version_delegated",
+            version=version,
+            domains=",".join(sorted(missing)),
+            hosts=",".join(member.host for member in chosen),
+        )
+        self._push(chosen, is_for_domain=True)
+        if left > 1:
+            self._delegate_later(version, (*tried, *chosen), left - 1)
+
+    def _on_held(self, held: VersionHeld, sender: Address) -> None:
+        for member in self._members.table.others():
+            if member.control == sender:
+                self._confirmed.setdefault(held.version, set()).add(member.domain)
+
+    def _confirm_push(self) -> None:
+        """Confirm a version that this daemon was told to push, once it is in force."""
+        if self._told_to_push is None or self._told_to_push[0] > self._versions.version:
+            return
+        version, sender = self._told_to_push
+        self._told_to_push = None
+        if not self._feeding.is_feeder:
+            self._push(self._feeding.audience())
+        self._port.send_datagram(VersionHeld(version), sender)
 
     def _make_push(self, before: AcceptedVersion | None, now: AcceptedVersion) -> VersionPush:
         """Build the push for a version; its delta is empty if too large for one datagram."""
@@ -178,7 +265,10 @@
         return -1 if age == UNKNOWN_AGE else round(age * 1000)
 
     def _on_push(self, push: VersionPush, sender: Address) -> None:
+        if push.is_for_domain:
+            self._told_to_push = (push.version, sender)
         if push.version <= self._versions.version:
+            self._confirm_push()
             return
         if push.delta and push.base == self._versions.version:
             reply = VersionReply(
--- a/packages/hosted/src/acaciayard_hosted/_watch.py
+++ b/packages/hosted/src/acaciayard_hosted/_watch.py
@@ -241,13 +241,13 @@
             self._failed_rounds += 1
             self._due = self._timers.now() + _ROUND_INTERVAL * self._random.uniform(0.5, 1.5)
 
-    async def _look(self) -> bool:
+    async def _look(self, asked_by: str | None = None) -> None:
+        """Read the store; if it answers, go on reading until it answers a lead."""
         self._looked_at = self._timers.now()
-        is_answered = await self._follower.look()
-        if is_answered:
-            self._log.info("store_answered_beside", role=self._feeding.role)
+        if await self._follower.look():
+            self._log.info("store_answered_beside", role=self._feeding.role, asked_by=asked_by)
             self._announce(_WATCH_INTERVAL)
-        return is_answered
+            self._feeding.substitute()
 
     async def _ask_others(self) -> None:
         """Ask further daemons to read, more of them in each step."""
@@ -286,10 +286,4 @@
             self._relay.note_ahead(member.host, request.version)
         is_recent = self._timers.now() - self._looked_at < _MIN_LOOK_INTERVAL
         if self._tasks is not None and member is not None and not is_recent:
-            self._tasks.start_soon(self._read_for, member)
-
-    async def _read_for(self, member: Member) -> None:
-        """Read the store since it does not answer `member`, and go on if it answers here."""
-        if await self._look():
-            self._log.info("store_read_for", asked_by=member.host)
-            self._feeding.substitute()
+            self._tasks.start_soon(self._look, member.host)
--- a/packages/hosted/tests/test_configuration_age.py
+++ b/packages/hosted/tests/test_configuration_age.py
@@ -132,6 +132,18 @@
 
         anyio.run(run)
 
+    def test_version_reaches_the_domain_of_a_feeder_that_has_ended(self) -> None:
+        """Guards against pushes to a feeder that is gone, but not known to be."""
+
+        async def body(mesh: VersionMesh) -> None:
+            for feeder in mesh.readers[1:]:
+                mesh.kill(feeder)
+            mesh.publish(2)
+            self.assertLess(await mesh.in_force_within(2, BOUND), USUAL_BOUND)
+
+        for seed in range(1, 6):
+            self.run_mesh(body, count=24, seed=seed)
+
     def test_host_cut_off_from_all_others_reads_in_time(self) -> None:
         """Guards against an age that grows until a host takes itself for isolated."""
 
--- a/packages/hosted/tests/version_mesh.py
+++ b/packages/hosted/tests/version_mesh.py
@@ -190,6 +190,7 @@
     port: FakePort
     store: StoreAsSeen
     follower: StoreFollower
+    relay: VersionRelay
     #: Scope of its tasks; cancelled by `VersionMesh.kill`.
     scope: anyio.CancelScope = field(factory=anyio.CancelScope)
 
@@ -314,7 +315,7 @@
             seed=seed,
             log=log,
         )
-        daemon = Daemon(members, versions, feeding, book, port, seen, follower)
+        daemon = Daemon(members, versions, feeding, book, port, seen, follower, relay)
         versions.on_version(lambda _before, now: self.on_version(host, now.configuration.version))
 
         async def follow() -> None:
