A stream to one daemon that goes silent does not hold up versions that others have

Callers saw: a host handles calls by an old version though other daemons tell it of the new one. Cause: catching up asked one daemon at a time, each with a timeout of 3 s that is sized for a whole document on a thin link. A stream that goes silent, or a host that is cut off just then, stopped it for longer than the bound. Evidence: test_stream_that_goes_silent_delays_no_version fails on the code before (2 s and more, the end of the test). Fix: who gets no reply within 0.3 s asks the next daemon beside the first. A daemon that has no configuration yet still asks one at a time, since it gets a whole document.

--- a/packages/hosted/src/acaciayard_hosted/_relay.py
+++ b/packages/hosted/src/acaciayard_hosted/_relay.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 import anyio
+import anyio.abc
 import structlog
 from attrs import evolve, frozen
 
@@ -35,6 +36,9 @@
 #: Timeout, in seconds, for asking one daemon; on the thinnest links a whole document takes half of
 #: it.
 _REQUEST_TIMEOUT: Final = 3.0
+#: Seconds without a reply after which another daemon is asked beside the first: its host may be
+#: gone, or the stream may have gone silent.
+_SECOND_ASK_DELAY: Final = 0.3
 #: Seconds within which the feeder of another failure domain confirms that it holds a version.
 #: Otherwise other daemons of that domain are told to push it.
 _CONFIRM_TIMEOUT: Final = 0.25
@@ -150,6 +154,8 @@
         self._random = seed
         self._log = log
         self._ahead: dict[str, int] = {}
+        #: Daemons that were asked and have not replied yet.
+        self._asked: set[str] = set()
         self._is_behind = anyio.Event()
         self._documents: OrderedDict[int, bytes] = OrderedDict()
         self._replies: dict[int, VersionReply] = {}
@@ -327,32 +333,46 @@
 
     async def run(self) -> None:
         """Catch up with daemons that are ahead; never returns."""
-        while True:
-            await self._is_behind.wait()
-            self._is_behind = anyio.Event()
-            if self._versions.newest is not None:
-                await self._timers.sleep(_PUSH_WAIT * self._random.uniform(0.5, 1.5))
-            await self._catch_up()
-
-    async def _catch_up(self) -> None:
-        ahead = {h: v for h, v in self._ahead.items() if v > self._versions.version}
-        self._ahead.clear()
-        while ahead:
-            host = self._choose_host(ahead)
-            member = self._members.table.find(host)
-            if member is not None and await self.ask(member.control):
-                return
-            del ahead[host]
-
-    def _choose_host(self, ahead: dict[str, int]) -> str:
-        """Choose a host, in the own failure domain if possible, then the one furthest ahead."""
-        own = self._members.table.own.domain
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._is_behind.wait()
+                self._is_behind = anyio.Event()
+                if self._versions.newest is not None:
+                    await self._timers.sleep(_PUSH_WAIT * self._random.uniform(0.5, 1.5))
+                await self._catch_up(tasks)
+
+    async def _catch_up(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Ask daemons that are ahead, the next one beside one that does not reply soon."""
+        while (member := self._next_ahead()) is not None:
+            # A whole document may take seconds on a thin link, and two of them twice as long.
+            is_first = self._versions.newest is None
+            ended = anyio.Event()
+            tasks.start_soon(self._ask_beside, member, ended)
+            with self._timers.timeout(_REQUEST_TIMEOUT if is_first else _SECOND_ASK_DELAY):
+                await ended.wait()
+
+    async def _ask_beside(self, member: Member, ended: anyio.Event) -> None:
+        self._asked.add(member.host)
+        try:
+            await self.ask(member.control)
+        finally:
+            self._asked.discard(member.host)
+            ended.set()
 
-        def rank(host: str) -> tuple[bool, int]:
-            member = self._members.table.find(host)
-            return (member is not None and member.domain == own, ahead[host])
+    def _next_ahead(self) -> Member | None:
+        """The daemon to ask next, in the own failure domain if possible, `None` if none is ahead.
 
-        return max(ahead, key=rank)
+        Daemons that were asked and have not replied yet are left out.
+        """
+        own = self._members.table.own.domain
+        self._ahead = {h: v for h, v in self._ahead.items() if v > self._versions.version}
+        found = [self._members.table.find(host) for host in self._ahead.keys() - self._asked]
+        members = [member for member in found if member is not None]
+        if not members:
+            return None
+        chosen = max(members, key=lambda m: (m.domain == own, self._ahead[m.host], m.host))
+        del self._ahead[chosen.host]
+        return chosen
 
     async def ask(self, address: Address) -> bool:
         """Ask one daemon; returns true if its version was newer and is now in force."""
--- a/packages/hosted/tests/test_configuration_age.py
+++ b/packages/hosted/tests/test_configuration_age.py
@@ -144,6 +144,27 @@
         for seed in range(1, 6):
             self.run_mesh(body, count=24, seed=seed)
 
+    def test_stream_that_goes_silent_delays_no_version(self) -> None:
+        """Guards against a wait for one daemon's reply while others could be asked."""
+
+        async def body(mesh: VersionMesh) -> None:
+            behind, silent = [host for host in mesh.daemons if host not in mesh.readers][:2]
+            mesh.network.cut_off({mesh.daemons[silent].port.ip})
+            relay = mesh.daemons[behind].relay
+            relay.note_ahead(silent, 2)  # by its last datagram
+            await mesh.timers.advance(0.5)
+            mesh.network.lose_every = 1
+            mesh.publish(2)
+            await mesh.timers.advance(0.1)
+            mesh.network.lose_every = 0
+            started = mesh.timers.now()
+            relay.note_ahead(mesh.lead, 2)
+            while mesh.daemons[behind].versions.version < 2 and mesh.timers.now() < started + BOUND:
+                await mesh.timers.advance(0.05)
+            self.assertLess(mesh.timers.now() - started, USUAL_BOUND)
+
+        self.run_mesh(body)
+
     def test_host_cut_off_from_all_others_reads_in_time(self) -> None:
         """Guards against an age that grows until a host takes itself for isolated."""
 
