A substitute for the lead hears that the lead is back; a randomized test of the age

What was seen: in a calm mesh of 24 daemons two further daemons read the store for ever. They had read in place of the lead at the start, and only watchers are told of its answers. Cause: who tells of answers is told of none, unless it watches. Evidence: test_no_substitute_reads_on_in_calm_time fails on the code before (5 readers in 3 domains). Fix: answers are also told to those who told of one in the last 3 s.

--- a/packages/hosted/src/acaciayard_hosted/_watch.py
+++ b/packages/hosted/src/acaciayard_hosted/_watch.py
@@ -46,6 +46,9 @@
 _LEAD_TURN: Final = 0.3
 #: Seconds until the next answer of a watcher is due, which reads once only.
 _WATCH_INTERVAL: Final = 0.8
+#: Seconds for which a daemon that told of an answer is told of others too: a substitute has to hear
+#: of the lead.
+_TELLER_SECONDS: Final = 3.0
 #: Seconds that a daemon that begins to watch waits for the first word of the lead.
 _NEW_WATCHER_GRACE: Final = 0.5
 #: Seconds without word of any other daemon after which a daemon reads for itself.
@@ -131,6 +134,8 @@
         #: Whether this daemon reads when the next answer is overdue. One that led or watched stays
         #: obliged until it has heard of an answer: its successors may not know that they are.
         self._is_obliged = False
+        #: When other daemons last told of an answer, by host.
+        self._told_by: dict[str, float] = {}
         self._doubts = 0
         self._failed_rounds = 0
         follower.on_answer(self._note_own_answer)
@@ -148,14 +153,24 @@
     def _announce(self, within: float) -> None:
         """Tell those who watch that the store has answered this daemon."""
         told = StoreAnswered(self._versions.version, round(within * 1000))
-        for member in self._feeding.watch_audience():
+        audience = {member.host: member for member in self._feeding.watch_audience()}
+        audience |= self._recent_tellers()
+        for member in audience.values():
             self._port.send_datagram(told, member.control)
         self._note_confirmed(within + _LEAD_TURN)
 
+    def _recent_tellers(self) -> dict[str, Member]:
+        """The daemons that have told of answers a moment ago: substitutes, among others."""
+        horizon = self._timers.now() - _TELLER_SECONDS
+        self._told_by = {host: at for host, at in self._told_by.items() if at >= horizon}
+        found = (self._members.table.find(host) for host in self._told_by)
+        return {member.host: member for member in found if member is not None}
+
     def _on_answered(self, told: StoreAnswered, sender: Address) -> None:
         member = self._member_at(sender)
         if member is None:
             return
+        self._told_by[member.host] = self._timers.now()
         self._age.note_answer(f"peer {sender.ip}")
         self._note_confirmed(told.within_ms / 1000 + self._turn())
         self._feeding.note_lead_served(member.host)
--- a/packages/hosted/tests/test_configuration_age.py
+++ b/packages/hosted/tests/test_configuration_age.py
@@ -22,6 +22,9 @@
 PACE = 0.6
 VERSIONS = 28
 
+#: Reads of a calm minute in three failure domains that polled each 1.5 s, 8 s and 8 s.
+CALM_READS = 56
+
 Fault = Callable[[VersionMesh, int], None]
 
 
@@ -177,6 +180,37 @@
         for seed in range(1, 6):
             self.run_mesh(body, seed=seed)
 
+    def test_hosts_cut_off_together_read_in_time(self) -> None:
+        """Guards against hosts that hear each other, and nobody who reads."""
+
+        async def body(mesh: VersionMesh) -> None:
+            hosts = [host for host in mesh.daemons if host not in mesh.readers][-2:]
+            mesh.network.cut_off({mesh.daemons[host].port.ip for host in hosts})
+            mesh.publish(2)
+            self.assertLess(await mesh.in_force_within(2, BOUND), BOUND)
+
+        for seed in range(1, 6):
+            self.run_mesh(body, count=24, seed=seed)
+
+    def test_no_substitute_reads_on_in_calm_time(self) -> None:
+        """Guards against daemons that read in place of a lead and do not hear that it is back."""
+
+        async def body(mesh: VersionMesh) -> None:
+            await mesh.timers.advance(10.0)
+            self.assertEqual(len(mesh.readers), 3)
+            before = mesh.store.calls
+            await mesh.timers.advance(60.0)
+            self.assertLess(mesh.store.calls - before, CALM_READS)
+            mesh.silence_standing(mesh.daemons)
+            mesh.silent.update(mesh.readers)
+            await mesh.timers.advance(4.0)
+            mesh.silent.clear()
+            await mesh.timers.advance(10.0)
+            self.assertLessEqual(len(mesh.readers), 4)
+
+        for seed in range(1, 4):
+            self.run_mesh(body, count=24, seed=seed)
+
 
 if __name__ == "__main__":
     unittest.main()
