A stream to a daemon that goes silent costs one call, not one for each stream that is kept

Callers saw: after connections between daemons have gone silent, one call after the other to a host ends without an answer, up to eight, where no other host has the service; elsewhere each needs a retry. A call that was not acknowledged in time closed its own stream, and the next took another one that had gone silent at the same moment. Fix: a missing acknowledgement closes the idle streams to that daemon that have carried nothing since the call began.

--- a/packages/calls/src/acaciayard_calls/_call_run.py
+++ b/packages/calls/src/acaciayard_calls/_call_run.py
@@ -308,6 +308,7 @@
         if attempt is None or attempt.exchange.is_acknowledged:
             return
         attempt.is_silent = True
+        attempt.exchange.note_silent()
         if not attempt.exchange.is_committed:
             attempt.abort(f"no sign from the host within {_ACKNOWLEDGE_TIMEOUT_S:g} s")
             return
--- a/packages/handover/src/acaciayard_handover/_pool.py
+++ b/packages/handover/src/acaciayard_handover/_pool.py
@@ -70,6 +70,17 @@
         else:
             idle.append((self._timers.now(), stream))
 
+    def drop_unproved(self, address: Address, since: float) -> None:
+        """Close the idle streams to a daemon that have carried nothing after `since`.
+
+        What silenced one stream, without a reset, may have silenced all that stood.
+        """
+        idle = self._idle.get(address, [])
+        for at, stream in idle:
+            if at <= since:
+                stream.channel.abort()
+        self._idle[address] = [each for each in idle if each[0] > since]
+
     async def run(self) -> None:
         """Close streams that exceed the idle timeout; runs until cancelled."""
         async for _ in self._timers.ticks(_IDLE_TIMEOUT_SECONDS / 3):
--- a/packages/handover/src/acaciayard_handover/_remote.py
+++ b/packages/handover/src/acaciayard_handover/_remote.py
@@ -79,6 +79,7 @@
         self._mean_seconds = 0.0
         self._is_aborted = False
         self._was_sent = False
+        self._started_at = timers.now()
 
     @property
     def was_sent(self) -> bool:
@@ -91,6 +92,9 @@
     def on_acknowledged(self, callback: Callable[[], None]) -> None:
         self._on_acknowledged = callback
 
+    def note_silent(self) -> None:
+        self._pool.drop_unproved(self._address, self._started_at)
+
     @property
     def is_committed(self) -> bool:
         return self._was_sent and not self._is_held
