A connection to a target that goes silent costs one call, not one for each that is kept

Callers saw: calls to a target whose connections have gone silent end at their deadline, one for each connection that was kept, until these are too old to be used again (4 s). Fix: a call that ends without any response after more than 0.5 s on a kept connection closes the idle connections to that target that have carried no response since it was sent. A target that is merely slow has answered on the others meanwhile, which are kept.

--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -52,6 +52,9 @@
 _BODILESS_METHODS: Final = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
 #: Maximum number of responses to other requests that are skipped before the connection is closed.
 _MAX_STRAY_ANSWERS: Final = 3
+#: Seconds without a response after which a kept connection counts as silent, once the call has
+#: ended.
+_SILENCE_SECONDS: Final = 0.5
 #: Maximum idle time of a connection that carries a call that must not run twice.  A target that
 #: drops idle connections would leave the outcome of such a call unknown.
 _MAX_UNSAFE_IDLE_SECONDS: Final = 1.0
@@ -88,6 +91,7 @@
         self._is_run_counted = False
         self._waiting: anyio.CancelScope | None = None
         self._is_aborted = False
+        self._has_response = False
         self._sent = False
         self._body_sent = call.is_whole
         self._reusable = False
@@ -324,6 +328,7 @@
                 head = await self._open().reader.next_head(
                     to_head_request=self._call.wants_head_only
                 )
+                self._has_response = True
                 if self._is_stray(head):
                     await self._skip_body()
                 else:
@@ -433,14 +438,25 @@
         if self._waiting is not None:
             self._waiting.cancel()
         if self._connection is not None:
+            self._drop_silent()
             self._connection.stream.abort()
 
     def close(self) -> None:
         self._release(reuse=False)
 
+    def _drop_silent(self) -> None:
+        """Close the connections that were kept beside one that has gone silent, it seems."""
+        if self._at_work is None or self._target is None or self._has_response:
+            return
+        is_kept = self._connection is not None and self._connection.idle_since > 0
+        if is_kept and self._timers.now() - self._at_work.sent_at > _SILENCE_SECONDS:
+            self._target.drop_unproved(self._at_work.sent_at)
+
     def _release(self, *, reuse: bool) -> None:
         if self._reservation is not None:
             self._reservation.end()
+        if not reuse:
+            self._drop_silent()
         connection, self._connection = self._connection, None
         if connection is not None and self._target is not None:
             if reuse:
--- a/packages/admission/src/acaciayard_admission/_target.py
+++ b/packages/admission/src/acaciayard_admission/_target.py
@@ -87,7 +87,7 @@
     stream: ByteStream
     #: Reads responses from the stream.
     reader: ResponseReader
-    #: When the connection was last returned to the pool.
+    #: When the connection was last returned to the pool, 0 if it is used for the first time.
     idle_since: float = 0.0
     #: Seconds for which it is reused then.
     idle_timeout: float = _IDLE_TIMEOUT_SECONDS
@@ -299,6 +299,16 @@
             connection.idle_since = self._timers.now()
             self._idle.append(connection)
 
+    def drop_unproved(self, since: float) -> None:
+        """Close the idle connections that have carried no response after `since`.
+
+        What silenced one connection, without a reset, may have silenced all that stood.
+        """
+        for idle in self._idle:
+            if idle.idle_since <= since:
+                idle.stream.abort()
+        self._idle = [idle for idle in self._idle if idle.idle_since > since]
+
     def drop_idle(self) -> None:
         """Close all idle connections."""
         while self._idle:
