--- a/packages/daemon/src/acaciayard_daemon/_status.py
+++ b/packages/daemon/src/acaciayard_daemon/_status.py
@@ -80,6 +80,7 @@
         "feeder": spread.is_feeder,
         "upstream": sorted(spread.links.upstream),
         "log": spread.log_reason or "ok",
+        "log_age_s": None if spread.log_age is None else round(spread.log_age, 3),
         "log_reads": sources.log.reads,
         "log_appends": sources.log.appends,
         "members": dict(sorted(domains.items())),
--- a/packages/spread/src/acaciayard_spread/_feeder.py
+++ b/packages/spread/src/acaciayard_spread/_feeder.py
@@ -34,14 +34,25 @@
 class LogState:
     """Outcome of this daemon's latest request to the log."""
 
-    def __init__(self) -> None:
+    def __init__(self, timers: TimerService) -> None:
+        self._timers = timers
         self._reason = ""
+        self._answered_at: float | None = None
 
     @property
     def reason(self) -> str:
         """Why the log is unavailable; empty if it is available."""
         return self._reason
 
+    @property
+    def age(self) -> float | None:
+        """Seconds since the log last answered a read of this daemon, `None` if it never did."""
+        return None if self._answered_at is None else self._timers.now() - self._answered_at
+
+    def note_answer(self) -> None:
+        """Record that the log has answered a read."""
+        self._answered_at = self._timers.now()
+
     def set_reason(self, reason: str) -> None:
         """Store the reason of a failed request, or an empty text after a success."""
         self._reason = reason
@@ -109,6 +120,7 @@
             CONFIGURATION_STREAM, start=position, limit=_MAX_RECORDS, wait=_LONG_POLL
         ):
             case Slice(records, bounds):
+                self._state.note_answer()
                 self._state.set_reason(self._describe_mismatch(bounds))
                 folded = self._holder.fold_records(position, [r.payload for r in records])
                 self._witnesses.evaluate()
@@ -117,6 +129,7 @@
                 if bounds.head < position:
                     await self._timers.sleep(_RETRY_DELAY)
             case Expired(bounds):
+                self._state.note_answer()
                 await self._bootstrap(bounds)
             case Unavailable(reason):
                 self._state.set_reason(reason)
--- a/packages/spread/src/acaciayard_spread/_service.py
+++ b/packages/spread/src/acaciayard_spread/_service.py
@@ -40,7 +40,7 @@
         snapshots: SnapshotSettings,
     ) -> None:
         self._holder = holder
-        self._log_state = LogState()
+        self._log_state = LogState(timers)
         table = members.table
         witnesses = Witnesses(holder, table, timers)
         self._context = SessionContext(table.own.host, holder, witnesses)
@@ -100,6 +100,11 @@
         """Whether this daemon reads the log for its failure domain."""
         return self._feeder.is_active
 
+    @property
+    def log_age(self) -> float | None:
+        """Seconds since the log last answered a read of this daemon, `None` if it never did."""
+        return self._log_state.age
+
     @property
     def log_reason(self) -> str:
         """Why the log is unavailable, as far as this daemon knows; empty if it is available."""
