An answer that is arriving is not doubted; a mesh that starts doubts nobody

What was seen before it landed: a document of 250 KB takes a second on a link of 2.5 Mbit/s, and the read that brings it would count as overdue, be repeated beside itself and count as lost; found by reading. Fix: parts of an answer that arrive postpone the doubt, and are told to the watchers; times of answers with records do not count among the usual ones.

--- a/packages/hosted/src/acaciayard_hosted/_eras.py
+++ b/packages/hosted/src/acaciayard_hosted/_eras.py
@@ -81,6 +81,10 @@
         """Call `listener` with each change of the era after the first answer."""
         self._listeners.append(listener)
 
+    @property
+    def received_at(self) -> float:
+        return self._store.received_at
+
     async def put(
         self, stream: str, key: str, value: bytes, *, at: int | None = None
     ) -> Appended | NotAppended | Outrun | AppendUnknown:
--- a/packages/hosted/src/acaciayard_hosted/_follower.py
+++ b/packages/hosted/src/acaciayard_hosted/_follower.py
@@ -261,9 +261,12 @@
         """Tell that the store has answered, and when it will again if nothing is wrong."""
         if self._feeding.polls_often:
             self._told_wait = self._next_wait()
-            within = delay + self._told_wait + self._reads.times.overdue_after
+            self._tell_within(delay + self._told_wait + self._reads.times.overdue_after)
+
+    def _tell_within(self, seconds: float) -> None:
+        if self._feeding.polls_often:
             for listener in self._on_confirmed:
-                listener(within)
+                listener(seconds)
 
     def _next_wait(self) -> float:
         """Seconds that the next poll waits."""
@@ -273,7 +276,7 @@
             return _STANDBY_WAIT
         newest = self._versions.newest
         since = self._timers.now() - newest.since if newest is not None else _ACTIVE_SECONDS
-        if since < _ACTIVE_SECONDS:
+        if since < _ACTIVE_SECONDS or not self._feeding.is_lead:
             wait = _ACTIVE_WAIT - max(0.0, _LEAD_BATCH_DELAY - since)
         else:
             standbys = self._feeding.reader_count - 1
@@ -290,7 +293,9 @@
             if not self._feeding.polls_often:
                 tasks.start_soon(self._cancel_when_relied_on, tasks.cancel_scope)
             tasks.start_soon(self._cancel_when_passed, start, tasks.cancel_scope)
-            result = await self._reads.poll(start, wait=wait, is_fresh=is_fresh)
+            result = await self._reads.poll(
+                start, wait=wait, is_fresh=is_fresh, on_arriving=self._tell_within
+            )
             tasks.cancel_scope.cancel()
         return result
 
--- a/packages/hosted/src/acaciayard_hosted/_relay.py
+++ b/packages/hosted/src/acaciayard_hosted/_relay.py
@@ -180,10 +180,11 @@
         if len(self._documents) > _MAX_KEPT_DOCUMENTS:
             self._documents.popitem(last=False)
         self._before = before
-        if now.is_first_hand:
+        is_feeder = self._feeding.is_feeder
+        if now.is_first_hand and (is_feeder or before is not None):
             self._push(self._feeding.audience())
             self._push_to_domains(version, self._feeding.other_heads())
-        elif before is not None and self._feeding.is_feeder:
+        elif before is not None and is_feeder:
             self._push(self._feeding.audience())
         self._confirm_push()
 
@@ -232,9 +233,10 @@
             self._delegate_later(version, (*tried, *chosen), left - 1)
 
     def _on_held(self, held: VersionHeld, sender: Address) -> None:
+        confirmed = self._confirmed.get(held.version)
         for member in self._members.table.others():
-            if member.control == sender:
-                self._confirmed.setdefault(held.version, set()).add(member.domain)
+            if member.control == sender and confirmed is not None:
+                confirmed.add(member.domain)
 
     def _confirm_push(self) -> None:
         """Confirm a version that this daemon was told to push, once it is in force."""
--- a/packages/hosted/src/acaciayard_hosted/_store_reads.py
+++ b/packages/hosted/src/acaciayard_hosted/_store_reads.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
 from typing import Final
 
 import anyio
@@ -65,7 +66,7 @@
         self._timers = timers
         self._log = log
         self._times = AnswerTimes()
-        self._overdue = 0
+        self._overdue_reads = 0
         self._outcomes: Counter[tuple[str, str]] = Counter()
 
     @property
@@ -76,7 +77,7 @@
     @property
     def overdue(self) -> int:
         """Number of reads that were overdue."""
-        return self._overdue
+        return self._overdue_reads
 
     @property
     def outcomes(self) -> Mapping[tuple[str, str], int]:
@@ -87,11 +88,19 @@
         """Read what there is now, on a new connection."""
         return await self._timed("look", start, wait=0.0, is_fresh=True)
 
-    async def poll(self, start: int, *, wait: float, is_fresh: bool = False) -> ReadAnswer:
+    async def poll(
+        self,
+        start: int,
+        *,
+        wait: float,
+        is_fresh: bool = False,
+        on_arriving: Callable[[float], None] = lambda _within: None,
+    ) -> ReadAnswer:
         """Wait up to `wait` seconds for changes from `start` on.
 
-        With `is_fresh` no kept connection is used. A read that fails at once on a kept connection,
-        which may have been closed, is repeated on a new one.
+        `on_arriving` is called while a late answer is arriving, with the seconds within which it
+        is called again or the read ends. With `is_fresh` no kept connection is used. A read that
+        fails at once on a kept connection, which may have been closed, is repeated on a new one.
         """
         race = _Race()
         answer: ReadAnswer = Unavailable("broken off")
@@ -103,7 +112,8 @@
                     race.is_doubted = True
                     tasks.start_soon(self._read_beside, race, start, first)
 
-                with _OverdueTimer(self._timers, wait, self._times.overdue_after, doubt):
+                overdue_after = self._times.overdue_after
+                with self._calling_when_overdue(wait, overdue_after, doubt, on_arriving):
                     answer = await self._timed("poll", start, wait=wait, is_fresh=is_fresh)
             if isinstance(answer, Unavailable):
                 if not (race.is_doubted or is_fresh or answer.is_refusal):
@@ -116,7 +126,7 @@
         return answer
 
     def _note_overdue(self, start: int, wait: float) -> None:
-        self._overdue += 1
+        self._overdue_reads += 1
         self._log.info(
             "store_read_overdue",
             waited_s=round(wait + self._times.overdue_after, 3),
@@ -128,7 +138,10 @@
         """Read on a new connection; an answer ends the first read."""
         timeout = max(_MIN_SECOND_TIMEOUT, _SECOND_TIMEOUT_FACTOR * self._times.overdue_after)
         try:
-            with self._timers.reply_timeout(timeout):
+            with (
+                anyio.CancelScope() as scope,
+                self._calling_when_overdue(0.0, timeout, scope.cancel),
+            ):
                 race.second = await self._timed("second", start, wait=0.0, is_fresh=True)
             if race.second is None:
                 race.second = Unavailable(f"no answer in {timeout:g} s on a new connection")
@@ -137,6 +150,42 @@
             if first is not None:
                 first.cancel()
 
+    @contextmanager
+    def _calling_when_overdue(
+        self,
+        wait: float,
+        overdue_after: float,
+        callback: Callable[[], None],
+        on_arriving: Callable[[float], None] = lambda _within: None,
+    ) -> Iterator[None]:
+        """Call back once an answer is overdue: `overdue_after` seconds later than `wait`.
+
+        Neither pauses of this process count, nor time in which a part of an answer arrives.
+        """
+        subscription: Subscription
+
+        def begin() -> None:
+            nonlocal subscription
+            reply = self._timers.reply_wait(overdue_after)
+
+            def check() -> None:
+                nonlocal subscription
+                if not reply.has_expired():
+                    subscription = self._timers.call_at(reply.due, check)
+                elif self._timers.now() - self._store.received_at < overdue_after:
+                    on_arriving(overdue_after)
+                    begin()
+                else:
+                    callback()
+
+            subscription = self._timers.call_at(reply.due, check)
+
+        subscription = self._timers.call_at(self._timers.now() + wait, begin)
+        try:
+            yield
+        finally:
+            subscription.cancel()
+
     async def _timed(self, kind: str, start: int, *, wait: float, is_fresh: bool) -> ReadAnswer:
         began = self._timers.now()
         answer = await self._store.changes(self._stream, start=start, wait=wait, is_fresh=is_fresh)
@@ -145,37 +194,7 @@
             self._outcomes[kind, "unanswered"] += 1
         else:
             self._outcomes[kind, "answered"] += 1
-            if took >= wait:
+            is_empty = isinstance(answer, KeyedSlice) and not answer.records
+            if is_empty and took >= wait:  # long records take their time on a thin link
                 self._times.note(took - wait)
         return answer
-
-
-class _OverdueTimer:
-    """Calls back once a read is overdue, without the time in which this process is paused."""
-
-    def __init__(
-        self, timers: TimerService, wait: float, overdue_after: float, callback: Callable[[], None]
-    ) -> None:
-        self._timers = timers
-        self._wait = wait
-        self._overdue_after = overdue_after
-        self._callback = callback
-        self._subscription: Subscription | None = None
-
-    def __enter__(self) -> None:
-        self._subscription = self._timers.call_at(self._timers.now() + self._wait, self._begin)
-
-    def __exit__(self, *_error: object) -> None:
-        if self._subscription is not None:
-            self._subscription.cancel()
-
-    def _begin(self) -> None:
-        reply = self._timers.reply_wait(self._overdue_after)
-
-        def check() -> None:
-            if reply.has_expired():
-                self._callback()
-            else:
-                self._subscription = self._timers.call_at(reply.due, check)
-
-        self._subscription = self._timers.call_at(reply.due, check)
--- a/packages/hosted/src/acaciayard_hosted/_watch.py
+++ b/packages/hosted/src/acaciayard_hosted/_watch.py
@@ -51,6 +51,9 @@
 _TELLER_SECONDS: Final = 3.0
 #: Seconds that a daemon that begins to watch waits for the first word of the lead.
 _NEW_WATCHER_GRACE: Final = 0.5
+#: Seconds for which a daemon must have led or watched to stay obliged after that. While a mesh
+#: starts each daemon leads for a moment.
+_ESTABLISHED_SECONDS: Final = 1.0
 #: Seconds without word of any other daemon after which a daemon reads for itself.
 _CONTACT_TIMEOUT: Final = 1.2
 #: Seconds between two steps in which further daemons are asked, and how many times as many daemons
@@ -134,6 +137,7 @@
         #: Whether this daemon reads when the next answer is overdue. One that led or watched stays
         #: obliged until it has heard of an answer: its successors may not know that they are.
         self._is_obliged = False
+        self._relied_on_since = timers.now()
         #: When other daemons last told of an answer, by host.
         self._told_by: dict[str, float] = {}
         self._doubts = 0
@@ -220,9 +224,14 @@
 
     def _next_due(self) -> float:
         """When this daemon reads if nothing is heard until then."""
-        if self._is_relied_on() and not self._is_obliged:
+        now = self._timers.now()
+        if not self._is_relied_on():
+            was_brief = now - self._relied_on_since < _ESTABLISHED_SECONDS
+            self._is_obliged &= not was_brief
+        elif not self._is_obliged:
             self._is_obliged = True
-            self._due = self._timers.now() + _NEW_WATCHER_GRACE
+            self._relied_on_since = now
+            self._due = max(self._due, now + _NEW_WATCHER_GRACE)
         if self._is_obliged:
             return self._due
         return max(self._due, self._feeding.heard_at + _CONTACT_TIMEOUT)
--- a/packages/http1/src/acaciayard_http1/_client.py
+++ b/packages/http1/src/acaciayard_http1/_client.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 from attrs import frozen
@@ -77,12 +78,18 @@
         self._timers = timers
         self._traffic = traffic
         self._idle_connections: list[_Connection] = []
+        self._received_at = -math.inf
 
     @property
     def address(self) -> Address:
         """Address of the service."""
         return self._address
 
+    @property
+    def received_at(self) -> float:
+        """When a part of a response arrived last, by the timer service; `-inf` before the first."""
+        return self._received_at
+
     async def request(
         self,
         method: bytes,
@@ -131,10 +138,12 @@
 
     async def _read_response(self, connection: _Connection) -> HttpResponse:
         head = await connection.reader.next_head()
+        self._received_at = self._timers.now()
         parts = []
         while True:
             match await connection.reader.next_part():
                 case BodyPart(data):
+                    self._received_at = self._timers.now()
                     parts.append(data)
                 case End():
                     break
--- a/packages/logservice/src/acaciayard_logservice/_interface.py
+++ b/packages/logservice/src/acaciayard_logservice/_interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 
 from attrs import frozen
@@ -141,6 +142,14 @@
     given, and a log that came back from an older copy gives none out a second time.
     """
 
+    @property
+    def received_at(self) -> float:
+        """When a part of an answer arrived last, by the timer service; `-inf` if it is unknown.
+
+        A long answer over a thin link is late, and on its way.
+        """
+        return -math.inf
+
     @abstractmethod
     async def put(
         self, stream: str, key: str, value: bytes, *, at: int | None = None
