A valid version is not lost since an invalid document was read with it

What callers could see: a change that was confirmed is not in force until the next one, where an invalid document follows it within 0.4 s. Cause: of the documents that one read brings only the last was considered.

--- a/packages/hosted/src/acaciayard_hosted/_follower.py
+++ b/packages/hosted/src/acaciayard_hosted/_follower.py
@@ -342,6 +342,7 @@
             offset=found.next_offset,
             is_first_hand=True,
             newest_order=self._newest_order(),
+            earlier=tuple(values[:-1]),
         )
 
     # --- answers and failures -----------------------------------------------------------------
--- a/packages/hosted/src/acaciayard_hosted/_versions.py
+++ b/packages/hosted/src/acaciayard_hosted/_versions.py
@@ -81,6 +81,8 @@
     is_first_hand: bool
     #: Position of the newest rollout order that may precede `offset`, 0 if there is none.
     newest_order: int
+    #: Documents that were published before it, the last one of which is tried if it is invalid.
+    earlier: tuple[bytes, ...] = ()
 
 
 @define
@@ -186,23 +188,45 @@
         offset: int = -1,
         is_first_hand: bool = False,
         newest_order: int = 0,
+        earlier: tuple[bytes, ...] = (),
     ) -> bool:
         """Put a document in force if it is valid and newer.
 
         Returns true if it was put in force or is being parsed. `version` is the number that the
         sender announced, 0 if unknown. `offset` is the position from which to continue reading the
         store, negative if unknown; `newest_order` is the position of the newest rollout order that
-        may precede it.
+        may precede it. `earlier` are documents published before it that nobody has offered yet; of
+        these the last valid one counts if this one is invalid.
         """
+        if document == self._last_rejected:
+            return self._offer_earlier(earlier, source, offset, is_first_hand, newest_order)
         if self._is_known(document) or 0 < version <= self.version:
             return False
-        offer = _Offer(document, source, version, offset, is_first_hand, newest_order)
+        offer = _Offer(document, source, version, offset, is_first_hand, newest_order, earlier)
         if self._reading is not None:
             return self._enqueue(offer)
         before = self.version
         self._read_offer(offer)
         return self._reading is not None or self.version > before
 
+    def _offer_earlier(
+        self,
+        earlier: tuple[bytes, ...],
+        source: str,
+        offset: int,
+        is_first_hand: bool,
+        newest_order: int,
+    ) -> bool:
+        """Offer the documents before one that is of no use, the last one first."""
+        return bool(earlier) and self.offer(
+            earlier[-1],
+            source=source,
+            offset=offset,
+            is_first_hand=is_first_hand,
+            newest_order=newest_order,
+            earlier=earlier[:-1],
+        )
+
     def _is_known(self, document: bytes) -> bool:
         """Whether a document can be skipped: it is in force, was rejected, or is being parsed."""
         if self._newest is not None and document == self._newest.document:
@@ -278,7 +302,7 @@
             self._take(reading, end.value)
         except FindingsError as findings:
             self._end_reading(reading)
-            self._reject(reading.offer.document, findings, reading.offer.source)
+            self._reject(reading.offer, findings)
         except Exception as error:
             # An exception from the parser would recur with this document: it would end each daemon
             # that reads it, one after the other, and again at each start. The version in force
@@ -287,7 +311,7 @@
             trace = "".join(traceback.format_exception(error)[-_MAX_TRACE_LINES:])
             self._log.error("configuration_not_read", trace=trace.replace("\n", " | "))
             fault = _unreadable_finding(Place(source=reading.offer.source), error)
-            self._reject(reading.offer.document, FindingsError.of([fault]), reading.offer.source)
+            self._reject(reading.offer, FindingsError.of([fault]))
         else:
             self._timers.call_at(self._timers.now(), self._continue_reading)
             return
@@ -313,17 +337,20 @@
         )
         self._put_in_force(accepted, offer.source, reading.count)
 
-    def _reject(self, document: bytes, findings: FindingsError, source: str) -> None:
+    def _reject(self, offer: _Offer, findings: FindingsError) -> None:
         self._rejected += 1
-        self._last_rejected = document
+        self._last_rejected = offer.document
         shown = [str(finding) for finding in findings.items[:_MAX_LOGGED_FINDINGS]]
         self._log.warning(
             "configuration_rejected",
-            source=source,
+            source=offer.source,
             kept_version=self.version,
             findings=len(findings.items),
             first="; ".join(shown),
         )
+        self._offer_earlier(
+            offer.earlier, offer.source, offer.offset, offer.is_first_hand, offer.newest_order
+        )
 
     def _put_in_force(self, accepted: AcceptedVersion, source: str, slices: int) -> None:
         before = self._newest
--- a/packages/hosted/tests/test_versions.py
+++ b/packages/hosted/tests/test_versions.py
@@ -264,6 +264,22 @@
 
         self.run_follower(body)
 
+    def test_version_before_an_invalid_document_of_its_batch_is_in_force(self) -> None:
+        """Guards against a version that is lost since an invalid document was read with it."""
+
+        async def body(
+            store: KeyedStandIn, versions: AcceptedVersions, timers: ManualTimers
+        ) -> None:
+            store.add(PLACE.stream, PLACE.key, b"4")
+            await timers.advance(0.05)
+            for document in (b"5", b"6", b"bad", b"worse"):
+                store.add(PLACE.stream, PLACE.key, document)
+            await timers.advance(1.0)
+            self.assertEqual(versions.version, 6)
+            self.assertEqual(versions.rejected, 2)
+
+        self.run_follower(body)
+
     def test_rapid_versions_are_read_in_batches(self) -> None:
         async def body(
             store: KeyedStandIn, versions: AcceptedVersions, timers: ManualTimers
