--- a/packages/hosted/src/acaciayard_hosted/_follower.py
+++ b/packages/hosted/src/acaciayard_hosted/_follower.py
@@ -41,6 +41,9 @@
 #: for how long after a version. Changes come in series.
 _ACTIVE_WAIT: Final = 0.7
 _ACTIVE_SECONDS: Final = 5.0
+#: Seconds that a poll may go on after another daemon has sent what it should have returned: a whole
+#: document takes that long on a thin link.
+_PASSED_PATIENCE: Final = 3.0
 #: Shortest wait of the lead, in seconds, where the store is slow to answer.
 _MIN_LEAD_WAIT: Final = 0.3
 #: Reads in a row that must be answered after a failed one until the waits are as usual.
@@ -314,7 +317,7 @@
         seen = self._versions.changed.count
         while (offset := self._announced_offset()) is None or not _is_beyond(offset, start):
             seen = await self._versions.changed.wait_beyond(seen)
-        await self._timers.sleep(self._reads.times.overdue_after)
+        await self._timers.sleep(_PASSED_PATIENCE)
         self._log.info(
             "store_read_overdue", reason="another daemon sent what is beyond", position=start
         )
--- a/packages/hosted/src/acaciayard_hosted/_relay.py
+++ b/packages/hosted/src/acaciayard_hosted/_relay.py
@@ -38,12 +38,12 @@
 _REQUEST_TIMEOUT: Final = 3.0
 #: Seconds without a reply after which another daemon is asked beside the first: its host may be
 #: gone, or the stream may have gone silent.
-_SECOND_ASK_DELAY: Final = 0.3
+_SECOND_ASK_DELAY: Final = 0.7
 #: Seconds within which the feeder of another failure domain confirms that it holds a version.
 #: Otherwise other daemons of that domain are told to push it.
-_CONFIRM_TIMEOUT: Final = 0.25
+_CONFIRM_TIMEOUT: Final = 0.7
 #: How often others are told, and how many at once.
-_MAX_DELEGATIONS: Final = 3
+_MAX_DELEGATIONS: Final = 1
 _DELEGATES: Final = 2
 #: Documents that decompress to more bytes are rejected.
 _MAX_DOCUMENT_BYTES: Final = 64 * 1024 * 1024
@@ -201,7 +201,7 @@
         self._push(heads, is_for_domain=True)
         self._confirmed = {v: domains for v, domains in self._confirmed.items() if v >= version}
         self._confirmed[version] = set()
-        if heads:
+        if heads and self._before is not None:
             self._delegate_later(version, heads, _MAX_DELEGATIONS)
 
     def _delegate_later(self, version: int, tried: Sequence[Member], left: int) -> None:
