A host probes others before it takes itself for isolated; one missed datagram makes no substitute

Cause: a host that had heard nobody for 1.2 s, as happens when one probe is lost, read the store and became a substitute, which polls. Far from the store each such read brings a whole document over the thin link between regions, so that probes were lost there, and more hosts read: the load fed itself. A watcher that missed one datagram of the lead did the same. Fix: after 0.9 s without word a host probes three others, and reads at 1.2 s only if none answers, for itself alone. A watcher becomes a substitute when it has been answered twice without word of another reader. Others are not asked while an answer is arriving.

--- a/packages/hosted/src/acaciayard_hosted/_follower.py
+++ b/packages/hosted/src/acaciayard_hosted/_follower.py
@@ -131,6 +131,11 @@
         """The reads of this daemon."""
         return self._reads
 
+    @property
+    def received_at(self) -> float:
+        """When a part of an answer of the store arrived last, `-inf` if it is unknown."""
+        return self._store.received_at
+
     @property
     def is_lost(self) -> bool:
         """Whether the last request to the store went unanswered."""
--- a/packages/hosted/src/acaciayard_hosted/_watch.py
+++ b/packages/hosted/src/acaciayard_hosted/_watch.py
@@ -9,10 +9,10 @@
 
     0 s                    an answer to the lead; the next one is due within 1.3 s
     1.3 s                  the lead's next read is overdue; it reads again on a new connection
-    1.4, 1.45, 1.5 s       the watchers read, unless they have heard of an answer
-    1.5 s and each 0.1 s   3, 9, 27 ... further daemons read
+    1.45, 1.5, 1.55 s      the watchers read, unless they have heard of an answer
+    1.6 s and each 0.1 s   3, 9, 27 ... further daemons read
 
-A daemon that hears of no other daemon reads for itself.
+A daemon that hears of no other daemon, and gets no answer to its probes, reads for itself.
 """
 
 from __future__ import annotations
@@ -40,7 +40,7 @@
 
 #: Seconds after the time at which an answer was due until the first watcher reads, and between two
 #: watchers. The second read of the lead is usually answered in between.
-_FIRST_TURN: Final = 0.1
+_FIRST_TURN: Final = 0.15
 _TURN_INTERVAL: Final = 0.05
 #: The same for the lead itself, whose own second read goes out at once.
 _LEAD_TURN: Final = 0.3
@@ -54,8 +54,14 @@
 #: Seconds for which a daemon must have led or watched to stay obliged after that. While a mesh
 #: starts each daemon leads for a moment.
 _ESTABLISHED_SECONDS: Final = 1.0
-#: Seconds without word of any other daemon after which a daemon reads for itself.
+#: Seconds without word of any other daemon after which a daemon probes some, and after which it
+#: reads for itself.
+_QUIET_SECONDS: Final = 0.9
 _CONTACT_TIMEOUT: Final = 1.2
+#: Daemons that it probes.
+_PROBED: Final = 3
+#: Least seconds for the own read before further daemons are asked.
+_MIN_LOOK_PATIENCE: Final = 0.15
 #: Seconds between two steps in which further daemons are asked, and how many times as many daemons
 #: each step asks, starting with this number.
 _STEP_INTERVAL: Final = 0.1
@@ -138,6 +144,8 @@
         #: obliged until it has heard of an answer: its successors may not know that they are.
         self._is_obliged = False
         self._relied_on_since = timers.now()
+        #: Whether the last answer was one to a read of this daemon beside the lead.
+        self._answered_alone = False
         #: When other daemons last told of an answer, by host.
         self._told_by: dict[str, float] = {}
         self._doubts = 0
@@ -175,6 +183,7 @@
         if member is None:
             return
         self._told_by[member.host] = self._timers.now()
+        self._answered_alone = False
         self._age.note_answer(f"peer {sender.ip}")
         self._note_confirmed(told.within_ms / 1000 + self._turn())
         self._feeding.note_lead_served(member.host)
@@ -219,8 +228,12 @@
                     await self._feeding.selections.wait_beyond(selections)
                 if self._timers.now() - due > _LATE_WAKE:
                     await self._timers.sleep(_LATE_WAKE)
-                if self._timers.now() >= self._next_due():
+                if self._timers.now() < self._next_due():
+                    continue
+                if self._is_obliged:
                     await self._doubt()
+                else:
+                    await self._look_if_isolated()
 
     def _next_due(self) -> float:
         """When this daemon reads if nothing is heard until then."""
@@ -234,7 +247,18 @@
             self._due = max(self._due, now + _NEW_WATCHER_GRACE)
         if self._is_obliged:
             return self._due
-        return max(self._due, self._feeding.heard_at + _CONTACT_TIMEOUT)
+        return max(self._due, self._feeding.heard_at + _QUIET_SECONDS)
+
+    async def _look_if_isolated(self) -> None:
+        """Read for this daemon alone if no other one answers a probe."""
+        heard_at = self._feeding.heard_at
+        self._members.probe_some(_PROBED)
+        await self._timers.sleep(_CONTACT_TIMEOUT - _QUIET_SECONDS)
+        if self._feeding.heard_at == heard_at and not self._is_obliged:
+            self._log.info("store_doubted", reason="no word of another daemon")
+            self._doubts += 1
+            await self._follower.look()
+            self._due = max(self._due, self._timers.now() + _WATCH_INTERVAL)
 
     def _is_relied_on(self) -> bool:
         own = self._members.table.own.host
@@ -257,8 +281,7 @@
         with self._timers.timeout(_ROUND_SECONDS):
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._look)
-                if self._is_obliged:
-                    tasks.start_soon(self._ask_others)
+                tasks.start_soon(self._ask_others)
                 await self._confirmed.wait()
                 tasks.cancel_scope.cancel()
         if self._confirmed_at < began:
@@ -266,16 +289,25 @@
             self._due = self._timers.now() + _ROUND_INTERVAL * self._random.uniform(0.5, 1.5)
 
     async def _look(self, asked_by: str | None = None) -> None:
-        """Read the store; if it answers, go on reading until it answers a lead."""
+        """Read the store; if it answers, and others rely on that, go on reading.
+
+        A watcher goes on if it has been answered twice without any word of another reader: the
+        first time it may have missed a datagram of the lead.
+        """
         self._looked_at = self._timers.now()
         if await self._follower.look():
             self._log.info("store_answered_beside", role=self._feeding.role, asked_by=asked_by)
             self._announce(_WATCH_INTERVAL)
-            self._feeding.substitute()
+            if asked_by is not None or self._answered_alone:
+                self._feeding.substitute()
+            self._answered_alone = True
 
     async def _ask_others(self) -> None:
         """Ask further daemons to read, more of them in each step."""
-        await self._timers.sleep(self._follower.reads.times.overdue_after)
+        overdue_after = max(_MIN_LOOK_PATIENCE, self._follower.reads.times.overdue_after)
+        await self._timers.sleep(overdue_after)
+        while self._timers.now() - self._follower.received_at < overdue_after:
+            await self._timers.sleep(_STEP_INTERVAL)  # an answer is arriving
         left = self._others_to_ask()
         count = float(_STEP_FACTOR)
         is_first_round = self._failed_rounds == 0
--- a/packages/hosted/tests/test_configuration_age.py
+++ b/packages/hosted/tests/test_configuration_age.py
@@ -25,6 +25,10 @@
 #: Reads of a calm minute in three failure domains that polled each 1.5 s, 8 s and 8 s.
 CALM_READS = 56
 
+#: Every datagram of this number is lost, and the most daemons that may read then in three domains.
+LOSE_EVERY = 10
+MOST_READERS = 6
+
 Fault = Callable[[VersionMesh, int], None]
 
 
@@ -192,6 +196,22 @@
         for seed in range(1, 6):
             self.run_mesh(body, count=24, seed=seed)
 
+    def test_lost_datagrams_make_no_further_daemons_read(self) -> None:
+        """Guards against daemons that read for lack of word, and whose reads fill a thin link."""
+
+        async def body(mesh: VersionMesh) -> None:
+            await mesh.timers.advance(5.0)
+            mesh.network.lose_every = LOSE_EVERY
+            before = mesh.store.calls
+            most = 0
+            for _ in range(60):
+                await mesh.timers.advance(1.0)
+                most = max(most, len(mesh.readers))
+            self.assertLessEqual(most, MOST_READERS)
+            self.assertLess(mesh.store.calls - before, 2 * CALM_READS)
+
+        self.run_mesh(body, count=24)
+
     def test_no_substitute_reads_on_in_calm_time(self) -> None:
         """Guards against daemons that read in place of a lead and do not hear that it is back."""
 
--- a/packages/membership/src/acaciayard_membership/_detector.py
+++ b/packages/membership/src/acaciayard_membership/_detector.py
@@ -105,6 +105,18 @@
         """Call `listener` with the sender's address of every probe from an unknown daemon."""
         self._unknown_sender_listeners.append(listener)
 
+    def probe_some(self, count: int) -> None:
+        """Probe some members now, those of the own failure domain first.
+
+        An ack counts as word of its sender; a missing one is no evidence of a failure.
+        """
+        own = self._table.own.domain
+        others = list(self._table.others())
+        self._seed.shuffle(others)
+        others.sort(key=lambda member: member.domain != own)
+        for member in others[:count]:
+            self._send_probe(next(self._probe_numbers), member.control, member)
+
     async def run(self) -> None:
         """Probe one member per period until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/packages/membership/src/acaciayard_membership/_service.py
+++ b/packages/membership/src/acaciayard_membership/_service.py
@@ -52,6 +52,10 @@
         """Call `listener` with the host and log position of every probe and ack received."""
         self._detector.on_position(listener)
 
+    def probe_some(self, count: int) -> None:
+        """Probe some members now, to hear of anybody."""
+        self._detector.probe_some(count)
+
     async def join(self, *, within: float) -> Joined | JoinFailed:
         """Join the mesh through the seeds; retries for `within` seconds."""
         return await self._exchanger.join(within=within)
