A failure domain that confirms nothing is told of by others, however many versions follow

Fix: each other domain's newest confirmed version is kept, and the newest version is delegated where an older one is missing; within 0.4 s, twice at most.

--- a/packages/hosted/src/acaciayard_hosted/_relay.py
+++ b/packages/hosted/src/acaciayard_hosted/_relay.py
@@ -41,9 +41,9 @@
 _SECOND_ASK_DELAY: Final = 0.7
 #: Seconds within which the feeder of another failure domain confirms that it holds a version.
 #: Otherwise other daemons of that domain are told to push it.
-_CONFIRM_TIMEOUT: Final = 0.7
+_CONFIRM_TIMEOUT: Final = 0.4
 #: How often others are told, and how many at once.
-_MAX_DELEGATIONS: Final = 1
+_MAX_DELEGATIONS: Final = 2
 _DELEGATES: Final = 2
 #: Documents that decompress to more bytes are rejected.
 _MAX_DOCUMENT_BYTES: Final = 64 * 1024 * 1024
@@ -163,8 +163,8 @@
         self._before: AcceptedVersion | None = None
         #: Newest version that this daemon was told to push in its failure domain, and by whom.
         self._told_to_push: tuple[int, Address] | None = None
-        #: Failure domains that have confirmed a version that was pushed to them, by version.
-        self._confirmed: dict[int, set[str]] = {}
+        #: The newest version that each other failure domain has confirmed.
+        self._confirmed: dict[str, int] = {}
         members.on_position(self._on_position)
         port.on_stream(VersionRequest, Purpose.SPREAD, self._serve)
         port.on_datagram(VersionPush, self._on_push)
@@ -199,8 +199,6 @@
     def _push_to_domains(self, version: int, heads: Sequence[Member]) -> None:
         """Push a version to other failure domains, and have others push it there if need be."""
         self._push(heads, is_for_domain=True)
-        self._confirmed = {v: domains for v, domains in self._confirmed.items() if v >= version}
-        self._confirmed[version] = set()
         if heads and self._before is not None:
             self._delegate_later(version, heads, _MAX_DELEGATIONS)
 
@@ -209,11 +207,8 @@
         self._timers.call_at(due, lambda: self._delegate(version, tried, left))
 
     def _delegate(self, version: int, tried: Sequence[Member], left: int) -> None:
-        """Tell other daemons to push a version in the domains that have not confirmed it."""
-        if version != self._versions.version:
-            return  # the next version has gone out, with the same care
-        confirmed = self._confirmed.get(version, set())
-        missing = {member.domain for member in tried} - confirmed
+        """Tell other daemons to push the newest version in domains that have not confirmed one."""
+        missing = {m.domain for m in tried if self._confirmed.get(m.domain, 0) < version}
         hosts = {member.host for member in tried}
         chosen: list[Member] = []
         for domain in sorted(missing):
@@ -233,10 +228,10 @@
             self._delegate_later(version, (*tried, *chosen), left - 1)
 
     def _on_held(self, held: VersionHeld, sender: Address) -> None:
-        confirmed = self._confirmed.get(held.version)
         for member in self._members.table.others():
-            if member.control == sender and confirmed is not None:
-                confirmed.add(member.domain)
+            if member.control == sender:
+                known = self._confirmed.get(member.domain, 0)
+                self._confirmed[member.domain] = max(known, held.version)
 
     def _confirm_push(self) -> None:
         """Confirm a version that this daemon was told to push, once it is in force."""
