--- a/packages/hosted/src/acaciayard_hosted/__init__.py
+++ b/packages/hosted/src/acaciayard_hosted/__init__.py
@@ -6,10 +6,11 @@
 from ._logs import BoundedLines, bounded_logger
 from ._platform import Handler, Platform, RolloutWords
 from ._readiness import Readiness
-from ._relay import RELAY_MESSAGES, VersionRelay
+from ._relay import VersionRelay
 from ._rollouts import HostedRollouts
 from ._run import run_platform_daemon
 from ._settings import HostedSettings, RetrySettings, RolloutSettings
+from ._version_messages import RELAY_MESSAGES
 from ._versions import AcceptedVersion, AcceptedVersions, ConfigurationReader
 
 __all__ = [
--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -64,9 +64,10 @@
 from ._platform import Platform
 from ._quotas import hosted_caps
 from ._readiness import Readiness
-from ._relay import RELAY_MESSAGES, VersionRelay
+from ._relay import VersionRelay
 from ._rollouts import HostedRollouts
 from ._settings import HostedSettings
+from ._version_messages import RELAY_MESSAGES
 from ._versions import AcceptedVersions
 from ._watch import WATCH_MESSAGES, StoreWatch
 
--- a/packages/hosted/src/acaciayard_hosted/_relay.py
+++ b/packages/hosted/src/acaciayard_hosted/_relay.py
@@ -11,7 +11,7 @@
 import anyio
 import anyio.abc
 import structlog
-from attrs import evolve, frozen
+from attrs import evolve
 
 from acaciayard_membership import Member, Membership
 from acaciayard_timers import TimerService
@@ -27,9 +27,10 @@
 from ._age import UNKNOWN_AGE, ConfigurationAge
 from ._delta import DeltaError, apply_delta, digest_of, make_delta
 from ._feeding import Feeding
+from ._version_messages import VersionHeld, VersionPush, VersionReply, VersionRequest
 from ._versions import AcceptedVersion, AcceptedVersions
 
-__all__ = ["RELAY_MESSAGES", "VersionRelay"]
+__all__ = ["VersionRelay"]
 
 #: Seconds that a daemon waits for the push of a newer version before it asks for it.
 _PUSH_WAIT: Final = 0.25
@@ -55,72 +56,6 @@
 _NO_BASE: Final = 0
 
 
-@frozen
-class VersionRequest:
-    """First message of a stream: requests the peer's version if it is newer."""
-
-    #: Version that the requesting daemon has.
-    version: int
-
-
-@frozen
-class VersionReply:
-    """A newer version, as a delta."""
-
-    #: Its number; at most the requested one if there is nothing newer.
-    version: int
-    #: Base version of the delta; 0 for a whole document, compressed.
-    base: int
-    #: The delta.
-    delta: bytes
-    #: Digest of the whole document.
-    digest: bytes
-    #: Position from which to continue reading the store, negative if unknown.
-    offset: int
-    #: Position of the newest rollout order that may precede `offset`, 0 if there is none.
-    newest_order: int = 0
-    #: Age of the sender's configuration in milliseconds, negative if unknown.
-    age_ms: int = -1
-
-
-@frozen
-class VersionPush:
-    """A datagram that brings a newer version."""
-
-    #: Its number.
-    version: int
-    #: Base version of the delta.
-    base: int
-    #: The delta; empty if it is too large, and then the version has to be requested.
-    delta: bytes
-    #: Digest of the whole document.
-    digest: bytes
-    #: Position from which to continue reading the store, negative if unknown.
-    offset: int
-    #: Position of the newest rollout order that may precede `offset`, 0 if there is none.
-    newest_order: int = 0
-    #: Age of the sender's configuration in milliseconds, negative if unknown.
-    age_ms: int = -1
-    #: Whether the receiver confirms with `VersionHeld`, and pushes the version in its domain.
-    is_for_domain: bool = False
-
-
-@frozen
-class VersionHeld:
-    """A datagram that confirms a version that the sender pushes in its failure domain."""
-
-    #: Its number.
-    version: int
-
-
-RELAY_MESSAGES: Final[dict[int, type]] = {
-    60: VersionRequest,
-    61: VersionReply,
-    62: VersionPush,
-    66: VersionHeld,
-}
-
-
 class VersionRelay:
     """Pushes new versions to other daemons, and pulls versions from daemons that are ahead.
 
@@ -165,7 +100,7 @@
         self._told_to_push: tuple[int, Address] | None = None
         #: The newest version that each other failure domain has confirmed.
         self._confirmed: dict[str, int] = {}
-        members.on_position(self._on_position)
+        members.on_position(self.note_ahead)
         port.on_stream(VersionRequest, Purpose.SPREAD, self._serve)
         port.on_datagram(VersionPush, self._on_push)
         port.on_datagram(VersionHeld, self._on_held)
@@ -287,7 +222,7 @@
                 return
         for member in self._members.table.others():
             if member.control == sender:
-                self._on_position(member.host, push.version)
+                self.note_ahead(member.host, push.version)
 
     def _make_reply(self, base: int) -> VersionReply:
         """Build a reply with the local version, as a delta to `base` if that document is kept."""
@@ -321,9 +256,6 @@
 
     def note_ahead(self, host: str, version: int) -> None:
         """Catch up with a daemon if its version is newer."""
-        self._on_position(host, version)
-
-    def _on_position(self, host: str, version: int) -> None:
         if version > self._versions.version:
             self._ahead[host] = version
             self._is_behind.set()
--- a/packages/hosted/src/acaciayard_hosted/_versions.py
+++ b/packages/hosted/src/acaciayard_hosted/_versions.py
@@ -18,7 +18,7 @@
 
 import anyio
 import structlog
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from acaciayard_resources import (
     Configuration,
@@ -198,34 +198,28 @@
         may precede it. `earlier` are documents published before it that nobody has offered yet; of
         these the last valid one counts if this one is invalid.
         """
-        if document == self._last_rejected:
-            return self._offer_earlier(earlier, source, offset, is_first_hand, newest_order)
-        if self._is_known(document) or 0 < version <= self.version:
+        return self._consider(
+            _Offer(document, source, version, offset, is_first_hand, newest_order, earlier)
+        )
+
+    def _consider(self, offer: _Offer) -> bool:
+        """Parse an offer now or later, or the one before it if it is known to be invalid."""
+        if offer.document == self._last_rejected:
+            return self._consider_earlier(offer)
+        if self._is_known(offer.document) or 0 < offer.version <= self.version:
             return False
-        offer = _Offer(document, source, version, offset, is_first_hand, newest_order, earlier)
         if self._reading is not None:
             return self._enqueue(offer)
         before = self.version
         self._read_offer(offer)
         return self._reading is not None or self.version > before
 
-    def _offer_earlier(
-        self,
-        earlier: tuple[bytes, ...],
-        source: str,
-        offset: int,
-        is_first_hand: bool,
-        newest_order: int,
-    ) -> bool:
-        """Offer the documents before one that is of no use, the last one first."""
-        return bool(earlier) and self.offer(
-            earlier[-1],
-            source=source,
-            offset=offset,
-            is_first_hand=is_first_hand,
-            newest_order=newest_order,
-            earlier=earlier[:-1],
-        )
+    def _consider_earlier(self, offer: _Offer) -> bool:
+        """Consider the last document that was published before an invalid one, if it is known."""
+        if not offer.earlier:
+            return False
+        *rest, last = offer.earlier
+        return self._consider(evolve(offer, document=last, version=0, earlier=tuple(rest)))
 
     def _is_known(self, document: bytes) -> bool:
         """Whether a document can be skipped: it is in force, was rejected, or is being parsed."""
@@ -348,9 +342,7 @@
             findings=len(findings.items),
             first="; ".join(shown),
         )
-        self._offer_earlier(
-            offer.earlier, offer.source, offer.offset, offer.is_first_hand, offer.newest_order
-        )
+        self._consider_earlier(offer)
 
     def _put_in_force(self, accepted: AcceptedVersion, source: str, slices: int) -> None:
         before = self._newest
--- a/packages/hosted/tests/test_decoders.py
+++ b/packages/hosted/tests/test_decoders.py
@@ -14,7 +14,8 @@
 from acaciayard_handover import CLAIM_MESSAGES
 from acaciayard_handover._messages import CALL_CODEC, CallHead
 from acaciayard_hosted._delta import DeltaError, apply_delta, make_delta
-from acaciayard_hosted._relay import RELAY_MESSAGES
+from acaciayard_hosted._version_messages import RELAY_MESSAGES
+from acaciayard_hosted._watch import WATCH_MESSAGES
 from acaciayard_membership import (
     MEMBERSHIP_MESSAGES,
     Member,
@@ -28,7 +29,7 @@
 from acaciayard_wire import MessageCodec, MessageError
 
 CODECS = (
-    MessageCodec({**MEMBERSHIP_MESSAGES, **RELAY_MESSAGES, **CLAIM_MESSAGES}),
+    MessageCodec({**MEMBERSHIP_MESSAGES, **RELAY_MESSAGES, **WATCH_MESSAGES, **CLAIM_MESSAGES}),
     CALL_CODEC,
     MEMBER_CODEC,
 )
--- a/packages/hosted/tests/version_mesh.py
+++ b/packages/hosted/tests/version_mesh.py
@@ -20,7 +20,8 @@
 from acaciayard_hosted._directory import DIRECTORY_MESSAGES, HostDirectory
 from acaciayard_hosted._eras import EraGuard
 from acaciayard_hosted._feeding import Feeding
-from acaciayard_hosted._relay import RELAY_MESSAGES, VersionRelay
+from acaciayard_hosted._relay import VersionRelay
+from acaciayard_hosted._version_messages import RELAY_MESSAGES
 from acaciayard_hosted._watch import WATCH_MESSAGES, StoreWatch
 from acaciayard_logservice import (
     Appended,
