A report is refused unless members can publish what it says

Callers saw: connections to a host ended without an answer, with all calls at work on it, once any program had sent one liveness report with a service or version of 251 to 4,096 characters. The next starts of the daemon ended the same way.

Cause: a report was accepted by the bounds of its reader (4,096 characters for any text) and entered the registry of targets; the record of the host, which is built from the registry, takes names of up to 250 characters and raised ValueError after the registry had changed. Evidence, standard output of the daemon: "ValueError: Length of 'service' must be <= 250: 272" from TargetInfo in LocalTargets._publish_all, below announcement_handler.

Change: `Announcement` has the validators of the record that it is published in, so nothing that cannot be published is ever registered.

That the exception of one report ended the whole daemon is a fault of its own, not mended here.

--- a/packages/admission/src/acaciayard_admission/_target.py
+++ b/packages/admission/src/acaciayard_admission/_target.py
@@ -10,7 +10,7 @@
 
 from acaciayard_callmodel import Call, NoticeRecord
 from acaciayard_http1 import Limits, ResponseReader
-from acaciayard_membership import Suspicion, TargetState
+from acaciayard_membership import COUNT, NAME, Suspicion, TargetState, validate_amount
 from acaciayard_resources import Service
 from acaciayard_timers import TimerService
 from acaciayard_wire import (
@@ -48,30 +48,34 @@
 
 @frozen
 class Announcement:
-    """The data that a target announces about itself."""
+    """The data that a target announces about itself.
+
+    The validators are those of the records that daemons publish, so that whatever is announced can
+    be published.  They raise `ValueError`.
+    """
 
     #: Service that the target provides.
-    service: str
+    service: str = field(validator=NAME)
     #: Name of the target, unique on its host.
-    name: str
+    name: str = field(validator=NAME)
     #: Address on which it listens.
     address: Address
     #: Maximum number of calls that it runs at once.
-    slots: int
+    slots: int = field(validator=COUNT)
     #: Maximum number of connections that it accepts.
     connections: int
     #: State of the target.
     state: TargetState = TargetState.READY
     #: Sequence number, which increases with every announcement of a target; 0 if unknown.  Older
     #: announcements that arrive late are ignored.
-    sequence: int = 0
+    sequence: int = field(default=0, validator=COUNT)
     #: Start time in Unix milliseconds by the clock of its host; 0 if unknown.  Sequence numbers and
     #: statistics of one start do not apply to another.
-    born: int = 0
+    born: int = field(default=0, validator=COUNT)
     #: Software version; empty if unknown.
-    version: str = ""
+    version: str = field(default="", validator=NAME)
     #: Seconds for which it will still be slow after its start; 0 if unknown.
-    cold_s: float = 0.0
+    cold_s: float = field(default=0.0, validator=validate_amount)
 
     @property
     def start(self) -> Start:
--- a/packages/membership/src/acaciayard_membership/__init__.py
+++ b/packages/membership/src/acaciayard_membership/__init__.py
@@ -3,7 +3,17 @@
 from ._detector import DetectorSettings, FailureDetector
 from ._exchange import Exchanger, Joined, JoinFailed
 from ._gossip import GossipQueue, GossipSender
-from ._member import Member, MemberState, Suspicion, TargetInfo, TargetState
+from ._member import (
+    COUNT,
+    MAX_NAME_LENGTH,
+    NAME,
+    Member,
+    MemberState,
+    Suspicion,
+    TargetInfo,
+    TargetState,
+    validate_amount,
+)
 from ._messages import MEMBER_CODEC, MEMBERSHIP_MESSAGES
 from ._news import member_log_fields
 from ._rendezvous import rendezvous
@@ -12,8 +22,11 @@
 
 __all__ = [
     "BUCKETS",
+    "COUNT",
+    "MAX_NAME_LENGTH",
     "MEMBERSHIP_MESSAGES",
     "MEMBER_CODEC",
+    "NAME",
     "DetectorSettings",
     "Exchanger",
     "FailureDetector",
@@ -32,4 +45,5 @@
     "member_log_fields",
     "membership",
     "rendezvous",
+    "validate_amount",
 ]
--- a/packages/membership/src/acaciayard_membership/_member.py
+++ b/packages/membership/src/acaciayard_membership/_member.py
@@ -14,25 +14,31 @@
 from acaciayard_wire import Address
 
 __all__ = [
+    "COUNT",
+    "MAX_NAME_LENGTH",
+    "NAME",
     "PORT",
     "Member",
     "MemberState",
     "Suspicion",
     "TargetInfo",
     "TargetState",
+    "validate_amount",
     "validate_ip",
 ]
 
 #: Maximum length of a name, in characters; names of hosts, targets and services have some tens.
-_MAX_NAME_LENGTH: Final = 250
+MAX_NAME_LENGTH: Final = 250
 #: Maximum of targets on one host; usually it has one or two, and a few that are draining.
 _MAX_TARGETS: Final = 300
 #: Maximum of suspicions in one record; daemons publish fewer, the bound guards against bad records.
 _MAX_SUSPICIONS: Final = 100
 #: Length of the fingerprint of a request, in bytes.
 _FINGERPRINT_BYTES: Final = 8
-_NAME: Final = and_(instance_of(str), max_len(_MAX_NAME_LENGTH))
-_COUNT: Final = and_(instance_of(int), ge(0), lt(2**63))
+#: Validates the name of a host, target, service or version; empty where there is none.
+NAME: Final = and_(instance_of(str), max_len(MAX_NAME_LENGTH))
+#: Validates a whole number that is not negative.
+COUNT: Final = and_(instance_of(int), ge(0), lt(2**63))
 #: Validates a port number; 0 where there is no such port.
 PORT: Final = and_(instance_of(int), ge(0), le(65535))
 
@@ -45,7 +51,8 @@
     IPv4Address(value)  # raises ValueError
 
 
-def _validate_amount(_record: object, attribute: attrs.Attribute[float], value: float) -> None:
+def validate_amount(_record: object, attribute: attrs.Attribute[float], value: float) -> None:
+    """Validate a number that is finite and not negative."""
     if not (math.isfinite(value) and value >= 0):
         raise ValueError(f"{attribute.name} is {value}")
 
@@ -81,19 +88,19 @@
     """What a daemon publishes about one of its targets."""
 
     #: Service that it belongs to.
-    service: str = field(validator=_NAME)
+    service: str = field(validator=NAME)
     #: Name of the target, unique on its host.
-    name: str = field(validator=_NAME)
+    name: str = field(validator=NAME)
     #: Number of calls that it runs concurrently.
-    slots: int = field(validator=_COUNT)
+    slots: int = field(validator=COUNT)
     #: State that it reports.
     state: int = field(default=TargetState.READY, validator=in_(frozenset(TargetState)))
     #: Start time in Unix milliseconds by the clock of its host; 0 if it does not report one.
-    born: int = field(default=0, validator=_COUNT)
+    born: int = field(default=0, validator=COUNT)
     #: Version of its software; empty if it does not report one.
-    version: str = field(default="", validator=_NAME)
+    version: str = field(default="", validator=NAME)
     #: Remaining seconds of its slow start when it was first registered, as it reports them.
-    cold_s: float = field(default=0.0, validator=_validate_amount)
+    cold_s: float = field(default=0.0, validator=validate_amount)
 
 
 @frozen
@@ -108,9 +115,9 @@
         validator=and_(instance_of(bytes), min_len(_FINGERPRINT_BYTES), max_len(_FINGERPRINT_BYTES))
     )
     #: Incremented with each new observation.
-    sequence: int = field(validator=_COUNT)
+    sequence: int = field(validator=COUNT)
     #: Consecutive targets that ended while running it; 0 once a target has answered it.
-    ends: int = field(validator=_COUNT)
+    ends: int = field(validator=COUNT)
 
     def with_changes(self, **changes: Any) -> Suspicion:
         """A copy with the given attributes changed."""
@@ -134,15 +141,15 @@
     """
 
     #: Name of the host.
-    host: str = field(validator=and_(_NAME, min_len(1)))
+    host: str = field(validator=and_(NAME, min_len(1)))
     #: Increases with every start of the daemon.
-    incarnation: int = field(validator=_COUNT)
+    incarnation: int = field(validator=COUNT)
     #: Increases with every change that the daemon makes to its record.
-    sequence: int = field(validator=_COUNT)
+    sequence: int = field(validator=COUNT)
     #: State of the daemon, a `MemberState`.
     state: int = field(validator=in_(frozenset(MemberState)))
     #: Failure domain.
-    domain: str = field(validator=_NAME)
+    domain: str = field(validator=NAME)
     #: IPv4 address of all its ports.
     ip: str = field(validator=validate_ip)
     #: Port for control messages between daemons, TCP and UDP.
@@ -156,7 +163,7 @@
     #: Whether the platform's store answers its requests.
     has_store_access: bool = True
     #: Bandwidth of its link in Mbit/s, 0 if unknown.
-    link_mbps: float = field(default=0.0, validator=_validate_amount)
+    link_mbps: float = field(default=0.0, validator=validate_amount)
     #: Whether its address is published in the platform's store.
     is_listed: bool = False
     #: Its own observations of requests that were running when targets ended.
