A handler that fails ends its own message, and not the daemon

Callers saw: all connections of a host ended without an answer, and its calls were lost, when one request to the address for reports made the handler raise something that is no finding.

Cause: the task of a connection runs in the task group of the whole daemon, so an exception that leaves it cancels everything. `HttpService` (reports, readiness, metrics) and the streams of `ControlPort` caught the errors of a lost or malformed message alone. Calls already had such a boundary, `CallEvents.connection_failed`; in the daemon of the product's own interface its default, which raises, was in use.

Change: both servers catch what their handlers raise, pass it to `on_fault`, answer 500 where there is a protocol for it, and close that connection or drop that datagram. Daemons log it as `handler_failed` with the end of the traceback and count it in `acaciayard_faults`. Without `on_fault` the exception is raised as before, so that tests see it. Loops that belong to the daemon still end it when they fail: a part that no longer runs must not go unnoticed.

--- a/packages/cli/src/acaciayard_cli/_explain.py
+++ b/packages/cli/src/acaciayard_cli/_explain.py
@@ -32,6 +32,7 @@
     "leaving_recalled",
     "cap_seat",
     "connection_failed",
+    "handler_failed",
 )
 
 
--- a/packages/daemon/src/acaciayard_daemon/_build.py
+++ b/packages/daemon/src/acaciayard_daemon/_build.py
@@ -13,7 +13,7 @@
 
 from acaciayard_admission import LocalTargets, RetryBudgets, SuspectEvent, Suspects
 from acaciayard_api import ApiContext, ApiServer, ChangeService, Progress, api_application
-from acaciayard_callmodel import OWN_DIALECT
+from acaciayard_callmodel import OWN_DIALECT, CallEvents
 from acaciayard_calls import Claimer, DispatchContext, Dispatcher, EntryServer, ServiceLevels
 from acaciayard_handover import CLAIM_MESSAGES, CallServer, StreamPool, call_pool
 from acaciayard_logservice import HttpLogService, http_log_service
@@ -33,7 +33,7 @@
 from acaciayard_settings import HostSettings
 from acaciayard_spread import SPREAD_MESSAGES, SnapshotSettings, Spread, spread
 from acaciayard_timers import EventLoopTimers, PauseDetector
-from acaciayard_wire import Address, ControlPort, MessageCodec, Purpose, Traffic
+from acaciayard_wire import Address, ControlPort, MessageCodec, Purpose, Traffic, trace_of
 
 from ._daemon import Daemon
 from ._status import StatusSources, status_view
@@ -60,6 +60,23 @@
     )
 
 
+class _FaultLog(CallEvents):
+    """Logs unexpected exceptions, each of which ends one connection or datagram."""
+
+    def __init__(self, logger: structlog.typing.FilteringBoundLogger) -> None:
+        self._logger = logger
+
+    def connection_failed(self, error: Exception) -> None:
+        self._log("connection_failed", error)
+
+    def handler_failed(self, error: Exception) -> None:
+        """Log an unexpected exception that ended a message for control."""
+        self._log("handler_failed", error)
+
+    def _log(self, event: str, error: Exception) -> None:
+        self._logger.error(event, error=repr(error), trace=trace_of(error))
+
+
 @frozen
 class _CallParts:
     """The parts that callers' calls pass."""
@@ -83,6 +100,7 @@
     ) -> None:
         self._settings = settings
         self._logger = logger
+        self._faults = _FaultLog(logger)
         self._tasks = tasks
         self._timers = EventLoopTimers()
         self._seed = random.Random()
@@ -145,7 +163,12 @@
     async def build(self) -> Daemon:
         settings = self._settings
         ip = settings.host.address
-        port = ControlPort(codec=_codec(), traffic=self._traffic, address=ip)
+        port = ControlPort(
+            codec=_codec(),
+            traffic=self._traffic,
+            address=ip,
+            on_fault=self._faults.handler_failed,
+        )
         log = http_log_service(settings.log.url, count=self._count_log)
         targets = LocalTargets(
             timers=self._timers,
@@ -157,7 +180,11 @@
             budgets=self._budgets,
         )
         call_server = CallServer(
-            targets=targets, timers=self._timers, pause=self._pause, traffic=self._traffic
+            targets=targets,
+            timers=self._timers,
+            pause=self._pause,
+            traffic=self._traffic,
+            events=self._faults,
         )
         await port.open(settings.ports.control, self._tasks)
         await call_server.open(ip, settings.ports.calls, self._tasks)
@@ -288,6 +315,7 @@
             timers=self._timers,
             traffic=self._traffic,
             not_serving=self._not_serving,
+            events=self._faults,
             caps=caps.caps,
         )
         spreading.holder.on_in_force(caps.caps.use)
--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -227,6 +227,7 @@
             traffic=self._traffic,
             address=settings.control.ip,
             account=self._timers.account,
+            on_fault=self._calls_log.handler_failed,
         )
         targets = LocalTargets(
             timers=self._timers,
@@ -500,7 +501,9 @@
             (settings.announcements, self._platform.announcements(targets, self._log)),
             (settings.metrics, page.answer),
         ):
-            service = HttpService(handler, traffic=self._traffic)
+            service = HttpService(
+                handler, traffic=self._traffic, on_fault=self._calls_log.handler_failed
+            )
             await service.open(address.ip, address.port, self._tasks)
             opened.append(service)
         return tuple(opened)
--- a/packages/hosted/src/acaciayard_hosted/_call_log.py
+++ b/packages/hosted/src/acaciayard_hosted/_call_log.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import traceback
 import zlib
 from collections import Counter
 from typing import Any, Final
@@ -12,6 +11,7 @@
 
 from acaciayard_callmodel import CallEnded, CallEvents, OfferEnded, Try
 from acaciayard_calls import Loss, loss_of
+from acaciayard_wire import trace_of
 
 __all__ = ["CallLog"]
 
@@ -23,8 +23,6 @@
 _SIGNIFICANT_DIGITS: Final = 2
 #: Lowest status of a target that counts as failed.
 _MIN_FAILED_STATUS: Final = 500
-#: Number of traceback lines that are logged.
-_MAX_TRACE_LINES: Final = 8
 #: Number of workspaces counted by name; each has about five series of 100 bytes.
 _MAX_WORKSPACES: Final = 200
 #: Number of times buffered before they are recorded.
@@ -49,7 +47,7 @@
 
     @property
     def faults(self) -> int:
-        """Number of connections ended by an unexpected exception."""
+        """Number of connections and datagrams ended by an unexpected exception."""
         return self._faults
 
     @property
@@ -164,9 +162,15 @@
         )
 
     def connection_failed(self, error: Exception) -> None:
+        self._note_fault("connection_failed", error)
+
+    def handler_failed(self, error: Exception) -> None:
+        """Log an unexpected exception that ended a message or request for control."""
+        self._note_fault("handler_failed", error)
+
+    def _note_fault(self, event: str, error: Exception) -> None:
         self._faults += 1
-        text = "".join(traceback.format_exception(error)[-_MAX_TRACE_LINES:])
-        self._log.error("connection_failed", error=repr(error), trace=text.replace("\n", " | "))
+        self._log.error(event, error=repr(error), trace=trace_of(error))
 
 
 def _format_tries(tries: list[Try]) -> str:
--- a/packages/hosted/src/acaciayard_hosted/_gauges.py
+++ b/packages/hosted/src/acaciayard_hosted/_gauges.py
@@ -151,7 +151,7 @@
             "Requests so far that were read behind unanswered ones of their connection",
             lambda: of.calls.pipelined,
         ),
-        Gauge("faults", "Connections ended by a fault", lambda: of.calls.faults),
+        Gauge("faults", "Connections and datagrams ended by a fault", lambda: of.calls.faults),
         Gauge("pauses", "Pauses of the process so far", lambda: of.pause.pauses),
         Gauge("control_bytes", "Bytes for control so far", of.traffic.control_bytes),
     )
--- a/packages/hosted/src/acaciayard_hosted/_versions.py
+++ b/packages/hosted/src/acaciayard_hosted/_versions.py
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-import traceback
 from collections.abc import Callable, Generator, Iterator
 from typing import Final
 
@@ -29,6 +28,7 @@
     Place,
 )
 from acaciayard_timers import ProcessorPart, Signal, TimerService
+from acaciayard_wire import trace_of
 
 __all__ = ["AcceptedVersion", "AcceptedVersions", "ConfigurationReader"]
 
@@ -43,8 +43,6 @@
 _SLICE_SECONDS: Final = 0.002
 #: Findings of one invalid document that are logged.
 _MAX_LOGGED_FINDINGS: Final = 5
-#: Number of traceback lines that are logged.
-_MAX_TRACE_LINES: Final = 8
 
 
 @frozen
@@ -302,8 +300,7 @@
             # that reads it, one after the other, and again at each start. The version in force
             # stays.
             self._end_reading(reading)
-            trace = "".join(traceback.format_exception(error)[-_MAX_TRACE_LINES:])
-            self._log.error("configuration_not_read", trace=trace.replace("\n", " | "))
+            self._log.error("configuration_not_read", trace=trace_of(error))
             fault = _unreadable_finding(Place(source=reading.offer.source), error)
             self._reject(reading.offer, FindingsError.of([fault]))
         else:
--- a/packages/http1/src/acaciayard_http1/_service.py
+++ b/packages/http1/src/acaciayard_http1/_service.py
@@ -9,7 +9,16 @@
 import anyio.abc
 from attrs import frozen
 
-from acaciayard_wire import ByteStream, Listener, Purpose, StreamLostError, Traffic, listen
+from acaciayard_wire import (
+    ByteStream,
+    FaultHandler,
+    Listener,
+    Purpose,
+    StreamLostError,
+    Traffic,
+    listen,
+    raise_fault,
+)
 
 from ._messages import BodyPart, End, Framing, HttpError, Limits, RequestHead
 from ._reader import RequestReader
@@ -18,6 +27,8 @@
 __all__ = ["HttpReply", "HttpService"]
 
 _LIMITS: Final = Limits(headers=100, head_bytes=16 * 1024, body_bytes=1024 * 1024)
+#: The response to a request whose handler has failed.
+_FAULT: Final = HttpError(500, "the request could not be processed")
 
 
 @frozen
@@ -37,14 +48,22 @@
 class HttpService:
     """Serves all requests with one handler, over persistent connections.
 
+    An unexpected exception of the handler is passed to `on_fault`, and ends its connection after a
+    response with status 500.
+
     Example:
         service = HttpService(handle, traffic=traffic)
         await service.open("127.0.0.1", 8080, tasks)
     """
 
     def __init__(
-        self, handler: Callable[[RequestHead, bytes], Awaitable[HttpReply]], *, traffic: Traffic
+        self,
+        handler: Callable[[RequestHead, bytes], Awaitable[HttpReply]],
+        *,
+        traffic: Traffic,
+        on_fault: FaultHandler = raise_fault,
     ) -> None:
+        self._on_fault = on_fault
         self._handler = handler
         self._traffic = traffic
         self._listener: Listener | None = None
@@ -86,6 +105,9 @@
             self._send_error(stream, error)
         except StreamLostError:
             pass  # the client disconnected, so no response can be sent
+        except Exception as error:
+            self._on_fault(error)
+            self._send_error(stream, _FAULT)
         finally:
             self._streams.discard(stream)
             stream.close()
--- a/packages/wire/src/acaciayard_wire/__init__.py
+++ b/packages/wire/src/acaciayard_wire/__init__.py
@@ -2,6 +2,7 @@
 
 from ._codec import MessageCodec, MessageError
 from ._control import Address, ControlPort, DatagramHandler, StreamHandler
+from ._faults import FaultHandler, raise_fault, trace_of
 from ._messages import MAX_MESSAGE_BYTES, MessageStream
 from ._stream import ByteStream, Listener, StreamLostError, StreamRefusedError, connect, listen
 from ._traffic import PeerTraffic, Purpose, Traffic, TrafficTotals
@@ -13,6 +14,7 @@
     "ByteStream",
     "ControlPort",
     "DatagramHandler",
+    "FaultHandler",
     "Listener",
     "MessageCodec",
     "MessageStream",
@@ -25,4 +27,6 @@
     "TrafficTotals",
     "connect",
     "listen",
+    "raise_fault",
+    "trace_of",
 ]
--- a/packages/wire/src/acaciayard_wire/_control.py
+++ b/packages/wire/src/acaciayard_wire/_control.py
@@ -14,6 +14,7 @@
 from acaciayard_timers import NO_ACCOUNT, ProcessorAccount, ProcessorPart
 
 from ._codec import MessageCodec, MessageError
+from ._faults import FaultHandler, raise_fault
 from ._messages import MessageStream
 from ._stream import ByteStream, Listener, StreamLostError, connect, listen
 from ._traffic import Purpose, Traffic
@@ -64,7 +65,8 @@
     """One port number, for TCP and UDP, that carries control messages between daemons.
 
     Each component registers handlers for its messages.  A stream is served by the handler that is
-    registered for its first message, in a task of its own.
+    registered for its first message, in a task of its own.  An unexpected exception of a handler
+    ends its stream or its datagram, and is passed to `on_fault`.
     """
 
     def __init__(
@@ -74,7 +76,9 @@
         traffic: Traffic,
         address: str,
         account: ProcessorAccount = NO_ACCOUNT,
+        on_fault: FaultHandler = raise_fault,
     ) -> None:
+        self._on_fault = on_fault
         self._account = account
         self._codec = codec
         self._traffic = traffic
@@ -153,6 +157,8 @@
             pass  # handlers react to lost connections themselves
         except MessageError:
             self._rejected += 1
+        except Exception as error:
+            self._on_fault(error)
         finally:
             messages.close()
 
@@ -171,8 +177,12 @@
             self._rejected += 1
             return
         handler = self._datagram_handlers.get(type(message))
-        if handler is not None:
+        if handler is None:
+            return
+        try:
             handler(message, sender)
+        except Exception as error:
+            self._on_fault(error)
 
     def send_datagram(self, message: object, to: Address) -> None:
         """Send one message by datagram; delivery is not guaranteed."""
