A host holds no more targets than its member record does

Callers saw: a daemon ended, with all calls at work on it, when programs on its host had announced more than 300 targets; the registry was changed before the record was refused, so every later change of any target, and the end of a lease, raised as well.

Cause: the registry of targets has no bound, and the record that is built from it takes 300.

Change: the registry holds as many as the record. One more is passed over, logged with its reason and answered 503, so a draining target goes on to another daemon and no promise is made. A target of a configured service takes the place of one whose service is not configured, so other programs cannot keep the real targets out.

--- a/packages/admission/src/acaciayard_admission/_target_news.py
+++ b/packages/admission/src/acaciayard_admission/_target_news.py
@@ -26,6 +26,8 @@
     ADDRESS_TAKEN = "address of a later start"
     #: It would replace a known target, but its service is not configured.
     UNKNOWN_SERVICE = "unknown service"
+    #: The host has as many targets as its record can hold, and none that could make room.
+    TOO_MANY = "too many targets"
 
 
 @frozen
--- a/packages/admission/src/acaciayard_admission/_targets.py
+++ b/packages/admission/src/acaciayard_admission/_targets.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from acaciayard_callmodel import Call, StartNotice, TargetNotice
-from acaciayard_membership import TargetInfo, TargetState
+from acaciayard_membership import MAX_TARGETS, TargetInfo, TargetState
 from acaciayard_resources import Configuration, DrainOrder, Service
 from acaciayard_timers import PauseDetector, TimerService
 from acaciayard_wire import Traffic
@@ -122,6 +122,9 @@
         self._withdraw_older(announcement)
         target = self._targets.get(announcement.name)
         if target is None:
+            if not self._make_room(announcement.service):
+                self._emit(announcement, "passed_over", AnnouncementResult.TOO_MANY.value)
+                return AnnouncementResult.TOO_MANY
             target = LocalTarget(
                 announcement, timers=self._timers, traffic=self._traffic, policy=self._policy
             )
@@ -189,6 +192,21 @@
                 self.mark_left(other.announcement.name, born=other.announcement.born)
                 self.withdraw(other.announcement.name, "another target has its address")
 
+    def _make_room(self, service: str) -> bool:
+        """Return whether one more target of `service` can be registered.
+
+        Programs that are no targets may announce themselves too.  So a target of a configured
+        service takes the place of one whose service is not configured.
+        """
+        if len(self._targets) < MAX_TARGETS:
+            return True
+        if not self._is_configured(service):
+            return False
+        for name, target in self._targets.items():
+            if not self._is_configured(target.announcement.service):
+                return self.withdraw(name, "a target of a configured service needs its place")
+        return False
+
     def note_sent(self, target: LocalTarget, call: Call) -> None:
         """Count a call that is sent to a target."""
         limit = "stated" if target.notices.notice.is_limited else "none"
--- a/packages/api/src/acaciayard_api/_app.py
+++ b/packages/api/src/acaciayard_api/_app.py
@@ -15,7 +15,13 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route as UrlRoute
 
-from acaciayard_admission import ANNOUNCE_INTERVAL_SECONDS, LEASE_SECONDS, LocalTargets, Suspects
+from acaciayard_admission import (
+    ANNOUNCE_INTERVAL_SECONDS,
+    LEASE_SECONDS,
+    AnnouncementResult,
+    LocalTargets,
+    Suspects,
+)
 from acaciayard_calls import ServiceLevels
 from acaciayard_membership import Member, MemberTable
 from acaciayard_quotas import MeshCaps
@@ -321,7 +327,9 @@
     # --- targets ------------------------------------------------------------------------------
 
     async def announce(self, request: Request) -> Response:
-        self._context.targets.announce(read_announcement(await self._body(request)))
+        result = self._context.targets.announce(read_announcement(await self._body(request)))
+        if result is AnnouncementResult.TOO_MANY:
+            return _error(503, result.value)
         return JSONResponse(
             {"lease_s": LEASE_SECONDS, "announce_every_s": ANNOUNCE_INTERVAL_SECONDS}
         )
--- a/packages/membership/src/acaciayard_membership/__init__.py
+++ b/packages/membership/src/acaciayard_membership/__init__.py
@@ -6,6 +6,7 @@
 from ._member import (
     COUNT,
     MAX_NAME_LENGTH,
+    MAX_TARGETS,
     NAME,
     Member,
     MemberState,
@@ -24,6 +25,7 @@
     "BUCKETS",
     "COUNT",
     "MAX_NAME_LENGTH",
+    "MAX_TARGETS",
     "MEMBERSHIP_MESSAGES",
     "MEMBER_CODEC",
     "NAME",
--- a/packages/membership/src/acaciayard_membership/_member.py
+++ b/packages/membership/src/acaciayard_membership/_member.py
@@ -16,6 +16,7 @@
 __all__ = [
     "COUNT",
     "MAX_NAME_LENGTH",
+    "MAX_TARGETS",
     "NAME",
     "PORT",
     "Member",
@@ -30,7 +31,7 @@
 #: Maximum length of a name, in characters; names of hosts, targets and services have some tens.
 MAX_NAME_LENGTH: Final = 250
 #: Maximum of targets on one host; usually it has one or two, and a few that are draining.
-_MAX_TARGETS: Final = 300
+MAX_TARGETS: Final = 300
 #: Maximum of suspicions in one record; daemons publish fewer, the bound guards against bad records.
 _MAX_SUSPICIONS: Final = 100
 #: Length of the fingerprint of a request, in bytes.
@@ -159,7 +160,7 @@
     #: Port for operators and for the targets on its host.
     api_port: int = field(validator=PORT)
     #: Targets on its host.
-    targets: tuple[TargetInfo, ...] = field(default=(), validator=max_len(_MAX_TARGETS))
+    targets: tuple[TargetInfo, ...] = field(default=(), validator=max_len(MAX_TARGETS))
     #: Whether the platform's store answers its requests.
     has_store_access: bool = True
     #: Bandwidth of its link in Mbit/s, 0 if unknown.
