A datagram that cannot be sent does not end all others

Seen: a daemon that sends one datagram to a port 0, to an address without a route, or of more than 65,507 bytes neither sends nor hears any datagram from then on. Nothing is logged. The other daemons take it for gone, it takes all others for gone, and versions, rollouts and leavings reach it by repair only. A member record of another writer with control port 0 is enough, since it is probed.

Cause: datagrams went out by the transport of the event loop. uvloop 0.17 treats an error of one datagram as fatal to the transport and closes the socket ("lost OSError(22, 'Invalid argument')"); the loop of the standard library reports it and goes on. `send` then skipped the closed transport without a word.

Change: the socket is our own, received from by the transport and sent on directly. An error of a datagram is counted (`acaciayard_datagrams_unsent`), the first of each kind is logged, and the others go on. A datagram for which the socket has no room is lost, as on the link.

--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -334,7 +334,7 @@
         store.on_change(directory.note_era)
         readiness = Readiness(self._platform.readiness_path, self._versions, log=self._log)
         services = await self._open_services(
-            targets, readiness, dispatcher, members, caps, follower, watch
+            targets, readiness, dispatcher, members, caps, follower, watch, port
         )
 
         return HostedDaemon(
@@ -462,6 +462,7 @@
         caps: ConnectedCaps,
         follower: StoreFollower,
         watch: StoreWatch,
+        port: ControlPort,
     ) -> tuple[HttpService, ...]:
         """Open the HTTP services that the platform uses."""
         settings = self._settings
@@ -479,6 +480,7 @@
             lines=self._lines,
             calls=self._calls_log,
             pause=self._pause,
+            port=port,
             traffic=self._traffic,
             timers=self._timers,
             pool=self._pool,
--- a/packages/hosted/src/acaciayard_hosted/_gauges.py
+++ b/packages/hosted/src/acaciayard_hosted/_gauges.py
@@ -11,7 +11,7 @@
 from acaciayard_quotas import MeshCaps
 from acaciayard_rollouts import RolloutBook
 from acaciayard_timers import EventLoopTimers, PauseDetector
-from acaciayard_wire import Traffic
+from acaciayard_wire import ControlPort, Traffic
 
 from ._call_log import CallLog
 from ._eras import EraGuard
@@ -61,6 +61,8 @@
     calls: CallLog
     #: Pauses of the process.
     pause: PauseDetector
+    #: Messages between daemons.
+    port: ControlPort
     #: Traffic in bytes, by purpose.
     traffic: Traffic
     #: Timers.
@@ -152,6 +154,11 @@
             lambda: of.calls.pipelined,
         ),
         Gauge("faults", "Connections and datagrams ended by a fault", lambda: of.calls.faults),
+        Gauge(
+            "datagrams_unsent",
+            "Datagrams so far that could not be sent to another daemon",
+            lambda: of.port.unsent,
+        ),
         Gauge("pauses", "Pauses of the process so far", lambda: of.pause.pauses),
         Gauge("control_bytes", "Bytes for control so far", of.traffic.control_bytes),
     )
--- a/packages/wire/src/acaciayard_wire/_control.py
+++ b/packages/wire/src/acaciayard_wire/_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from ipaddress import IPv4Address
 from typing import Any, Final, cast
@@ -66,7 +67,8 @@
 
     Each component registers handlers for its messages.  A stream is served by the handler that is
     registered for its first message, in a task of its own.  An unexpected exception of a handler
-    ends its stream or its datagram, and is passed to `on_fault`.
+    ends its stream or its datagram, and is passed to `on_fault`.  So is the first of each kind of
+    error with which datagrams could not be sent.
     """
 
     def __init__(
@@ -89,6 +91,14 @@
         self._datagrams: _DatagramProtocol | None = None
         self._tasks: anyio.abc.TaskGroup | None = None
         self._rejected = 0
+        self._unsent = 0
+        #: Error numbers of datagrams that could not be sent.
+        self._send_errors: set[int | None] = set()
+
+    @property
+    def unsent(self) -> int:
+        """Number of datagrams that could not be sent so far."""
+        return self._unsent
 
     @property
     def rejected(self) -> int:
@@ -131,9 +141,16 @@
 
     async def _open_datagrams(self, port: int) -> _DatagramProtocol:
         loop = asyncio.get_running_loop()
-        _, protocol = await loop.create_datagram_endpoint(
-            lambda: _DatagramProtocol(self._take_datagram), local_addr=(self._ip, port)
-        )
+        channel = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            channel.setblocking(False)
+            channel.bind((self._ip, port))
+            _, protocol = await loop.create_datagram_endpoint(
+                lambda: _DatagramProtocol(channel, self._take_datagram), sock=channel
+            )
+        except BaseException:
+            channel.close()
+            raise
         return protocol
 
     def _accept(self, stream: ByteStream) -> None:
@@ -188,8 +205,19 @@
         """Send one message by datagram; delivery is not guaranteed."""
         assert self._datagrams is not None, "the port is not open yet"
         data = self._codec.encode(message)
+        try:
+            self._datagrams.send(data, to)
+        except OSError as error:
+            self._note_unsent(error)
+            return
         self._traffic.sent(Purpose.MEMBERSHIP, len(data), to.ip)
-        self._datagrams.send(data, to)
+
+    def _note_unsent(self, error: OSError) -> None:
+        """Count a datagram that could not be sent; its address or its size may be unusable."""
+        self._unsent += 1
+        if error.errno not in self._send_errors:
+            self._send_errors.add(error.errno)
+            self._on_fault(error)
 
     async def connect(self, to: Address, purpose: Purpose) -> MessageStream:
         """Open a stream to another daemon's control port; raises `StreamLostError`."""
@@ -205,9 +233,14 @@
 
 
 class _DatagramProtocol(asyncio.DatagramProtocol):
-    """Passes received datagrams to a callback."""
+    """Passes received datagrams to a callback, and sends others on the same socket.
+
+    They are not sent by the transport of the event loop: the one of `uvloop` closes the socket for
+    good when a single datagram cannot be sent.
+    """
 
-    def __init__(self, callback: Callable[[bytes, Address], None]) -> None:
+    def __init__(self, channel: socket.socket, callback: Callable[[bytes, Address], None]) -> None:
+        self._channel = channel
         self._callback = callback
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -221,8 +254,9 @@
         """Ignore errors such as a closed port at the receiver; probes detect failed daemons."""
 
     def send(self, data: bytes, to: Address) -> None:
+        """Send a datagram; raises `OSError`, also when the socket takes no more at present."""
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(data, (to.ip, to.port))
+            self._channel.sendto(data, (to.ip, to.port))
 
     def close(self) -> None:
         if self._transport is not None:
