A member record that fits into no datagram does not hold up the others

Seen: once one host's record has more than 1,200 bytes, daemons that know of it pass on no update at all: neither that record, nor any other with as many transmissions left. Joins, failures, leavings and rollouts of other hosts then spread by the exchanges of whole tables alone, every 10 s. Two targets with long names are enough, or some twenty of the usual ones.

Cause: the queue of updates stops at the first one that does not fit, and one that never fits is never counted as passed on, so it stays in front.

Change: an update that does not fit is left for a later datagram. One beyond 1,200 bytes goes alone; one beyond 8 KB is not queued, and reaches others when their tables are found to differ, which also needs an empty queue.

Test: test_gossip.GossipQueueTest.test_large_record_does_not_hold_up_others; on the code before, 40 datagrams to a member hold nothing for either size.

--- a/packages/membership/src/acaciayard_membership/_gossip.py
+++ b/packages/membership/src/acaciayard_membership/_gossip.py
@@ -29,6 +29,9 @@
 _MIN_ORIGIN_TRANSMISSIONS: Final = 3
 #: Bytes of updates in one datagram.
 _DATAGRAM_BYTES: Final = 1200
+#: Bytes of the largest update that is sent, in a datagram of its own if it exceeds the above.
+#: Larger ones are left to the exchanges of whole tables: datagrams of many fragments get lost.
+_MAX_UPDATE_BYTES: Final = 8 * 1024
 #: Updates in one datagram.
 _MAX_UPDATES: Final = 24
 #: Seconds between two rounds.
@@ -81,7 +84,8 @@
         if other_domains and (is_origin or (before is not None and now.state != before.state)):
             remote = max(remote, _MIN_ORIGIN_TRANSMISSIONS)
         self._remaining.pop(now.host, None)
-        if local or remote:
+        is_sendable = len(self._table.packed(now.host)) <= _MAX_UPDATE_BYTES
+        if is_sendable and (local or remote):
             self._remaining[now.host] = _Remaining(local, remote)
 
     def _round_at_random(self, value: float) -> int:
@@ -114,7 +118,9 @@
     def next_updates(self, to: Member | None, room: int = _DATAGRAM_BYTES) -> list[bytes]:
         """Packed updates for one datagram; each of them counts as passed on once more.
 
-        An unknown receiver (`None`) is treated as one in another failure domain.
+        An update that does not fit is left for a later datagram, and does not hold up the others.
+        One that fits into none is sent alone.  An unknown receiver (`None`) is treated as one in
+        another failure domain.
         """
         is_local = to is not None and to.domain == self._table.own.domain
         remaining = {h: c.local if is_local else c.remote for h, c in self._remaining.items()}
@@ -124,11 +130,16 @@
                 del self._remaining[host]
                 continue
             packed = self._table.packed(host)
-            if remaining[host] <= 0 or len(packed) > room:
+            if remaining[host] <= 0:
                 break
+            is_alone = len(packed) > _DATAGRAM_BYTES and room == _DATAGRAM_BYTES
+            if len(packed) > room and not is_alone:
+                continue
             room -= len(packed)
             chosen.append(packed)
             self._count_transmission(host, is_local=is_local)
+            if is_alone:
+                break
         return chosen
 
 
--- a/packages/membership/tests/test_gossip.py
+++ b/packages/membership/tests/test_gossip.py
@@ -15,7 +15,7 @@
 import anyio
 from gossip_mesh import GossipMesh
 
-from acaciayard_membership import Member, MemberState, MemberTable
+from acaciayard_membership import Member, MemberState, MemberTable, TargetInfo
 from acaciayard_membership._gossip import GossipQueue
 from acaciayard_membership._messages import MEMBER_CODEC
 from acaciayard_timers import ManualTimers
@@ -90,6 +90,28 @@
         """With five hosts in a domain and five other domains, each host sends it twice."""
         self.assertAlmostEqual(self.transmissions(remote=True) / 200, 2.0, delta=0.2)
 
+    # Guards against one record that fits into no datagram and keeps all others from being sent.
+    def test_large_record_does_not_hold_up_others(self) -> None:
+        for size, is_sent in ((6, True), (60, False)):
+            with self.subTest(targets=size):
+                table = MemberTable(member("own", "d0"), ManualTimers())
+                for host in ("h1", "h2", "h3"):
+                    table.merge(MEMBER_CODEC.encode(member(host, "d0")))
+                queue = GossipQueue(table, random.Random(4))
+                targets = tuple(TargetInfo("a" * 250, f"t{n}", 1) for n in range(size))
+                large = MEMBER_CODEC.encode(
+                    member("h2", "d0").with_changes(sequence=2, targets=targets)
+                )
+                small = MEMBER_CODEC.encode(member("h3", "d0").with_changes(sequence=2))
+                table.merge(large)
+                table.merge(small)
+                sent: list[bytes] = []
+                for _ in range(40):
+                    sent.extend(queue.next_updates(table.find("h1")))
+                self.assertIn(small, sent)
+                self.assertEqual(large in sent, is_sent)
+                self.assertTrue(queue.is_empty)
+
     def test_update_is_sent_more_often_within_a_domain(self) -> None:
         self.assertEqual(self.transmissions(remote=False) / 200, 4)
 
