A daemon's record stays valid whatever numbers others give it

Seen: a record of another writer for a host's own name, with a sequence number of 2^63 - 1, makes the daemon of that host raise ValueError. In an exchange of tables that ended the daemon, in a datagram the rest of the updates in it were lost; and the record, which may call the host dead, was not superseded.

Cause: an own record is published with the greatest known sequence number plus one, which the record type does not take.

Change: one place computes the age of an own record. After the last sequence number comes the next incarnation. A record with the last of both cannot be superseded; the daemon keeps its age then, and goes on.

Test: test_table.TableTest.test_own_record_is_superseded_whatever_its_numbers; on the code before three of its four cases end with "'sequence' must be <".

--- a/packages/membership/src/acaciayard_membership/_member.py
+++ b/packages/membership/src/acaciayard_membership/_member.py
@@ -9,12 +9,13 @@
 
 import attrs
 from attrs import evolve, field, frozen
-from attrs.validators import and_, ge, in_, instance_of, le, lt, max_len, min_len
+from attrs.validators import and_, ge, in_, instance_of, le, max_len, min_len
 
 from acaciayard_wire import Address
 
 __all__ = [
     "COUNT",
+    "MAX_COUNT",
     "MAX_NAME_LENGTH",
     "MAX_TARGETS",
     "NAME",
@@ -38,8 +39,10 @@
 _FINGERPRINT_BYTES: Final = 8
 #: Validates the name of a host, target, service or version; empty where there is none.
 NAME: Final = and_(instance_of(str), max_len(MAX_NAME_LENGTH))
+#: Largest number that a record may hold.
+MAX_COUNT: Final = 2**63 - 1
 #: Validates a whole number that is not negative.
-COUNT: Final = and_(instance_of(int), ge(0), lt(2**63))
+COUNT: Final = and_(instance_of(int), ge(0), le(MAX_COUNT))
 #: Validates a port number; 0 where there is no such port.
 PORT: Final = and_(instance_of(int), ge(0), le(65535))
 
--- a/packages/membership/src/acaciayard_membership/_table.py
+++ b/packages/membership/src/acaciayard_membership/_table.py
@@ -14,7 +14,7 @@
 from acaciayard_timers import TimerService
 from acaciayard_wire import MessageError
 
-from ._member import Member, MemberState, Suspicion, TargetInfo
+from ._member import MAX_COUNT, Member, MemberState, Suspicion, TargetInfo
 from ._messages import MEMBER_CODEC
 
 __all__ = ["BUCKETS", "MemberTable", "PeersByDomain"]
@@ -237,44 +237,33 @@
                 listener(record)
         if record.age <= own.age:
             return False
-        self._update_own(
-            own.with_changes(
-                incarnation=max(own.incarnation, record.incarnation),
-                sequence=max(own.sequence, record.sequence) + 1,
-            )
-        )
+        incarnation = max(own.incarnation, record.incarnation)
+        sequence = max(own.sequence, record.sequence)
+        self._update_own(own.with_changes(incarnation=incarnation, sequence=sequence))
         return True
 
     def set_targets(self, targets: tuple[TargetInfo, ...]) -> None:
         """Publish the targets on this host if they have changed."""
         if targets != self.own.targets:
-            own = self.own
-            self._update_own(own.with_changes(targets=targets, sequence=own.sequence + 1))
+            self._update_own(self.own.with_changes(targets=targets))
 
     def set_store_access(self, has_store_access: bool) -> None:
         """Publish whether the platform's store answers this daemon."""
-        own = self.own
-        self._update_own(
-            own.with_changes(has_store_access=has_store_access, sequence=own.sequence + 1)
-        )
+        self._update_own(self.own.with_changes(has_store_access=has_store_access))
 
     def set_listed(self) -> None:
         """Publish that the platform's store holds the address of this daemon."""
-        own = self.own
-        if not own.is_listed:
-            self._update_own(own.with_changes(is_listed=True, sequence=own.sequence + 1))
+        if not self.own.is_listed:
+            self._update_own(self.own.with_changes(is_listed=True))
 
     def set_suspicions(self, suspicions: tuple[Suspicion, ...]) -> None:
         """Publish this daemon's observations of requests that end targets."""
-        own = self.own
-        if suspicions != own.suspicions:
-            changed = own.with_changes(suspicions=suspicions, sequence=own.sequence + 1)
-            self._update_own(changed)
+        if suspicions != self.own.suspicions:
+            self._update_own(self.own.with_changes(suspicions=suspicions))
 
     def leave(self) -> None:
         """Publish that this daemon leaves."""
-        own = self.own
-        self._update_own(own.with_changes(state=MemberState.LEFT, sequence=own.sequence + 1))
+        self._update_own(self.own.with_changes(state=MemberState.LEFT))
 
     def set_state(self, member: Member, state: MemberState) -> bool:
         """Set the state of a member; returns true if it was changed.
@@ -300,8 +289,18 @@
         for host in expired:
             self._remove(host)
 
-    def _update_own(self, own: Member) -> None:
-        self._store(own, MEMBER_CODEC.encode(own))
+    def _update_own(self, changed: Member) -> None:
+        """Publish a changed record of this daemon with the next sequence number.
+
+        A record of another writer may hold any number for this host.  After the last sequence
+        number comes the next incarnation; after the last of both, the age stays as it is.
+        """
+        incarnation, sequence = changed.incarnation, changed.sequence + 1
+        if sequence > MAX_COUNT:
+            incarnation, sequence = incarnation + 1, 0
+        if incarnation <= MAX_COUNT:
+            changed = changed.with_changes(incarnation=incarnation, sequence=sequence)
+        self._store(changed, MEMBER_CODEC.encode(changed))
 
     def _remove(self, host: str) -> None:
         entry = self._entries.pop(host, None)
--- a/packages/membership/tests/test_table.py
+++ b/packages/membership/tests/test_table.py
@@ -26,6 +26,10 @@
     return Member(host, incarnation, sequence, state, "riga-a", "10.0.0.1", 1, 2, 3)
 
 
+#: Largest number that a record may hold.
+LARGEST = 2**63 - 1
+
+
 def packed(*members: Member) -> list[bytes]:
     return [MEMBER_CODEC.encode(m) for m in members]
 
@@ -67,6 +71,25 @@
             table.merge(data)
         self.assertEqual((table.present_count, table.expected_count), (2, 3))
 
+    # Guards against a record of another writer with numbers after which no own one is valid.
+    def test_own_record_is_superseded_whatever_its_numbers(self) -> None:
+        for incarnation, sequence in (
+            (1, LARGEST),
+            (LARGEST, 0),
+            (LARGEST, LARGEST - 1),
+            (LARGEST, LARGEST),
+        ):
+            with self.subTest(incarnation=incarnation, sequence=sequence):
+                table = self.table()
+                forged = member("own", incarnation, sequence, MemberState.DEAD)
+                table.merge(*packed(forged))
+                self.assertTrue(table.own.is_present)
+                if (incarnation, sequence) != (LARGEST, LARGEST):
+                    self.assertGreater(table.own.age, forged.age)
+                targets = (TargetInfo(service="a", name="t1", slots=4),)
+                table.set_targets(targets)
+                self.assertEqual(table.own.targets, targets)
+
     def test_records_of_an_earlier_incarnation_are_reported(self) -> None:
         table = MemberTable(member("own", incarnation=5), ManualTimers())
         reported: list[Member] = []
