A call's suspicion is checked by the bounds of the type that it becomes

Seen: a call from a daemon with a suspicion of 2^63 or more passes the check of the message and raises ValueError when its `Suspicion` is made. The connection with its other calls is closed, and the call is counted as running for ever, so that the daemon waits out its whole grace time at each stop. With a suspicion at the very bound, the next end of a target under that request raises in the same way, and the target stays registered.

Cause: the message and the type have bounds of their own, and the count of running calls was raised before everything that can fail.

Change: one bound, `MAX_COUNT`, for both. The count is raised where it is sure to be lowered. A suspicion after one at the bound stays there.

Tests: test_decoders.DecodersTest.test_what_would_raise_later has such a call, and the property test beside it draws numbers beyond the bound; test_suspects.SuspectsTest. test_end_of_a_target_is_noted_whatever_is_known.

--- a/packages/admission/src/acaciayard_admission/_suspects.py
+++ b/packages/admission/src/acaciayard_admission/_suspects.py
@@ -213,9 +213,9 @@
             before = entry.suspicion if entry is not None and is_cleared else None
         else:
             before = known
-        sequence = before.sequence if before is not None else 0
-        ends = before.ends if before is not None else 0
-        self._apply(Suspicion(fingerprint, sequence + 1, ends + 1), is_own=is_own)
+        if before is None:
+            before = Suspicion(fingerprint, 0, 0)
+        self._apply(before.next(ends=before.ends + 1), is_own=is_own)
 
     def note_success(self, call: Call) -> None:
         """Clear a request, because a target has answered it."""
@@ -227,8 +227,7 @@
         known = self._known.get(fingerprint)
         if known is None or not known.suspicion.ends:
             return False
-        suspicion = known.suspicion
-        self._apply(suspicion.with_changes(sequence=suspicion.sequence + 1, ends=0), is_own=True)
+        self._apply(known.suspicion.next(ends=0), is_own=True)
         return True
 
     def merge(self, suspicions: Iterable[Suspicion]) -> None:
--- a/packages/calls/tests/test_suspects.py
+++ b/packages/calls/tests/test_suspects.py
@@ -17,6 +17,8 @@
 
 DIALECT = Dialect(request_id=b"x-request", origin=b"x-origin")
 TEN_MINUTES_S = 600.0
+#: Largest number that a record may hold.
+LARGEST = 2**63 - 1
 
 
 def call(
@@ -114,6 +116,16 @@
             third.merge(order)
             self.assertIsNone(third.of(call()))
 
+    # Guards against a suspicion of another writer after which no further one is valid.
+    def test_end_of_a_target_is_noted_whatever_is_known(self) -> None:
+        fingerprint = fingerprint_of(call(), DIALECT)
+        for sequence, ends in ((LARGEST, 1), (1, LARGEST), (LARGEST, LARGEST)):
+            with self.subTest(sequence=sequence, ends=ends):
+                self.suspects = self.new_daemon()
+                self.suspects.merge([Suspicion(fingerprint, sequence, ends)])
+                self.note_ends(call())
+                self.suspects.lift(fingerprint)
+
     def test_barred_call_gets_a_trial_after_a_growing_delay(self) -> None:
         self.note_ends(call(), ENDS_TO_BAR)
         self.timers._now += TEN_MINUTES_S - 1
--- a/packages/handover/src/acaciayard_handover/_messages.py
+++ b/packages/handover/src/acaciayard_handover/_messages.py
@@ -11,6 +11,7 @@
 
 from acaciayard_callmodel import FINGERPRINT_BYTES
 from acaciayard_http1 import Headers
+from acaciayard_membership import MAX_COUNT
 from acaciayard_resources import PRIORITIES
 from acaciayard_wire import MessageCodec
 
@@ -107,8 +108,9 @@
 
     def _check_suspicion(self) -> None:
         """Raise `ValueError` unless suspicion and fingerprint are both present and valid."""
-        is_whole = len(self.suspicion) == 2 and min(self.suspicion) >= 0
-        if not is_whole or len(self.fingerprint) != FINGERPRINT_BYTES:
+        is_pair = len(self.suspicion) == 2
+        is_valid = is_pair and min(self.suspicion) >= 0 and max(self.suspicion) <= MAX_COUNT
+        if not is_valid or len(self.fingerprint) != FINGERPRINT_BYTES:
             raise ValueError(f"suspicion {self.suspicion} for {len(self.fingerprint)} bytes")
 
 
--- a/packages/handover/src/acaciayard_handover/_server.py
+++ b/packages/handover/src/acaciayard_handover/_server.py
@@ -152,7 +152,6 @@
             return
         if head.notices:
             self._targets.adopt(unpack_notices(head.notices))
-        self._running += 1
         if head.suspicion:
             self._targets.suspects.merge([Suspicion(head.fingerprint, *head.suspicion)])
         call = self._to_call(head)
@@ -163,6 +162,7 @@
             dialect=self._dialect,
             on_queued=lambda: messages.channel.send_nowait(QUEUED),
         )
+        self._running += 1
         try:
             waits_for_body = head.is_held and call.length > LARGEST_INLINE_BODY
             refusal = None if waits_for_body else exchange.try_enter()
--- a/packages/hosted/tests/test_decoders.py
+++ b/packages/hosted/tests/test_decoders.py
@@ -46,6 +46,9 @@
 )
 #: Messages whose code is known and whose fields may hold anything.
 COUNTS = st.integers(0, 70)
+#: Fields of a call, up to its suspicion.
+CALL = ["a", b"GET", b"/", b"", b"", True, 0, 0, 1.0, b"r", 1.0, False, False, False]
+FINGERPRINT = b"12345678"
 SOME_DAEMON = Member(
     host="far-1",
     incarnation=7,
@@ -116,6 +119,7 @@
             (CODECS[0], [3, 1, "127.0.0.1", 99_999_999]),
             (CALL_CODEC, [4, [b"name"]]),  # a trailer without a value
             (CALL_CODEC, [9, 0]),  # asks for nothing, for ever
+            (CALL_CODEC, [1, *CALL, FINGERPRINT, [2**63, 1]]),  # a suspicion that none can hold
         )
         for codec, parts in cases:
             with self.subTest(parts=parts), self.assertRaises(MessageError):
@@ -131,10 +135,9 @@
             self.assertLess(abs(head.budget), float("inf"))
             self.assertEqual(head.start_within, head.start_within)
 
-    @given(st.binary(max_size=9), st.lists(st.integers(-2, 2**63 - 1), max_size=3))
+    @given(st.binary(max_size=9), st.lists(st.integers(-2, 2**64 - 1), max_size=3))
     def test_a_call_holds_a_suspicion_or_none(self, fingerprint: bytes, held: list[int]) -> None:
-        call = ["a", b"GET", b"/", b"", b"", True, 0, 0, 1.0, b"r", 1.0, False, False, False]
-        head = decode(CALL_CODEC, msgpack.packb([1, *call, fingerprint, held]))
+        head = decode(CALL_CODEC, msgpack.packb([1, *CALL, fingerprint, held]))
         if isinstance(head, CallHead) and head.suspicion:
             Suspicion(head.fingerprint, *head.suspicion)
 
--- a/packages/membership/src/acaciayard_membership/__init__.py
+++ b/packages/membership/src/acaciayard_membership/__init__.py
@@ -5,6 +5,7 @@
 from ._gossip import GossipQueue, GossipSender
 from ._member import (
     COUNT,
+    MAX_COUNT,
     MAX_NAME_LENGTH,
     MAX_TARGETS,
     NAME,
@@ -24,6 +25,7 @@
 __all__ = [
     "BUCKETS",
     "COUNT",
+    "MAX_COUNT",
     "MAX_NAME_LENGTH",
     "MAX_TARGETS",
     "MEMBERSHIP_MESSAGES",
--- a/packages/membership/src/acaciayard_membership/_member.py
+++ b/packages/membership/src/acaciayard_membership/_member.py
@@ -127,6 +127,15 @@
         """A copy with the given attributes changed."""
         return evolve(self, **changes)
 
+    def next(self, *, ends: int) -> Suspicion:
+        """The suspicion after one more observation, with `ends` consecutive ends.
+
+        Both numbers stop at the largest one that a record may hold.
+        """
+        return self.with_changes(
+            sequence=min(self.sequence + 1, MAX_COUNT), ends=min(ends, MAX_COUNT)
+        )
+
     @property
     def age(self) -> tuple[int, int]:
         """Sort key among all suspicions about this request; the greatest is the newest."""
