A foreign time of start does not keep out targets that tell none

Seen: on deployments whose servers tell no `born`, one report of another writer with `born`, under an id and an address of its own, makes a daemon ignore every further report of the real server beside it. Its lease ends within seconds and the host serves nothing more until the daemon starts again.

Cause: that any accepted announcement had a time of start was remembered for good, and from then on one was asked of every target on the host.

Change: once a configuration is in force, only targets of configured services count for that; before, those that are registered. A registered target without a time of start renews its lease in any case.

--- a/packages/admission/src/acaciayard_admission/_starts.py
+++ b/packages/admission/src/acaciayard_admission/_starts.py
@@ -70,7 +70,7 @@
         return self._reports_start_times
 
     def note(self, start: Start) -> None:
-        """Record the start that an announcement identifies."""
+        """Record the start that an announcement of a configured service identifies."""
         self._reports_start_times = self._reports_start_times or start.born > 0
 
     def leave(self, start: Start) -> None:
--- a/packages/admission/src/acaciayard_admission/_targets.py
+++ b/packages/admission/src/acaciayard_admission/_targets.py
@@ -118,7 +118,7 @@
         if ignored is not None:
             self._emit(announcement, "passed_over", ignored.value)
             return ignored
-        self._starts.note(announcement.start)
+        self._note_start(announcement)
         self._withdraw_older(announcement)
         target = self._targets.get(announcement.name)
         if target is None:
@@ -154,9 +154,10 @@
     def _ignored_because(self, announcement: Announcement) -> AnnouncementResult | None:
         """Return why an announcement is ignored, or `None` if it is to be accepted."""
         start = announcement.start
-        if not start.born and self._starts.reports_start_times:
-            return AnnouncementResult.WITHOUT_START
         known = self._targets.get(start.name)
+        is_renewal = known is not None and known.announcement.start == start
+        if not start.born and not is_renewal and self._must_report_start():
+            return AnnouncementResult.WITHOUT_START
         if known is None:
             if self._starts.has_left(start):
                 return AnnouncementResult.LEFT
@@ -175,6 +176,20 @@
             return AnnouncementResult.UNKNOWN_SERVICE
         return None
 
+    def _must_report_start(self) -> bool:
+        """Return whether targets on this host report their start times, so that each must.
+
+        Once a configuration is in force only targets of configured services count: another program
+        that reports a start time must not keep out targets that report none.
+        """
+        if self._configuration is None:
+            return any(target.announcement.born for target in self._targets.values())
+        return self._starts.reports_start_times
+
+    def _note_start(self, announcement: Announcement) -> None:
+        if self._configuration is not None and self._is_configured(announcement.service):
+            self._starts.note(announcement.start)
+
     def _is_configured(self, service: str) -> bool:
         """Return whether the service is configured, or no configuration is in force yet."""
         configuration = self._configuration
@@ -405,6 +420,7 @@
         """Apply a configuration that has come into force."""
         self._configuration = configuration
         for target in self._targets.values():
+            self._note_start(target.announcement)
             target.set_queue_length(self._queue_length(target.announcement.service))
             self._update_gate(target)
         self._publish_all()
