--- a/packages/callmodel/tests/test_notices.py
+++ b/packages/callmodel/tests/test_notices.py
@@ -16,6 +16,7 @@
     TargetNotice,
     read_notice,
 )
+from acaciayard_membership import TargetInfo
 
 DIALECT = OWN_DIALECT.with_changes(rate_limit=b"x-rate", leaving=b"x-leaving")
 
@@ -127,6 +128,11 @@
                 with self.assertRaises(ValueError):
                     StartNotice(**fields).check_fields()  # type: ignore[arg-type]
 
+    # Guards against targets whose every answer is lost, since its notice is refused.
+    def test_every_name_that_members_publish_is_valid(self) -> None:
+        target = TargetInfo(service="a", name="x" * 250, slots=1)
+        StartNotice(target=target.name, born=0, max_rate=1.0).check_fields()
+
 
 if __name__ == "__main__":
     unittest.main()
