Failing timers and socket callbacks are logged with the other lines

Seen: an exception in a timer or in a callback of a socket leaves a traceback of many lines on standard error, without the host, unbounded, and is counted nowhere.

Change: the handler of the event loop passes it to the same place as a failing handler: `handler_failed`, counted in `acaciayard_faults`.

Test: test_handler_faults.HandlerFaultsTest.test_failing_timer_is_passed_on, on both loops.

--- a/packages/daemon/src/acaciayard_daemon/_build.py
+++ b/packages/daemon/src/acaciayard_daemon/_build.py
@@ -33,7 +33,15 @@
 from acaciayard_settings import HostSettings
 from acaciayard_spread import SPREAD_MESSAGES, SnapshotSettings, Spread, spread
 from acaciayard_timers import EventLoopTimers, PauseDetector
-from acaciayard_wire import Address, ControlPort, MessageCodec, Purpose, Traffic, trace_of
+from acaciayard_wire import (
+    Address,
+    ControlPort,
+    MessageCodec,
+    Purpose,
+    Traffic,
+    trace_of,
+    watch_callbacks,
+)
 
 from ._daemon import Daemon
 from ._status import StatusSources, status_view
@@ -163,6 +171,7 @@
     async def build(self) -> Daemon:
         settings = self._settings
         ip = settings.host.address
+        watch_callbacks(self._faults.handler_failed)
         port = ControlPort(
             codec=_codec(),
             traffic=self._traffic,
--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -42,7 +42,7 @@
 from acaciayard_rollouts import ROLLOUT_MESSAGES, RolloutBook, RolloutChange
 from acaciayard_routing import Picker
 from acaciayard_timers import EventLoopTimers, PauseDetector
-from acaciayard_wire import ControlPort, MessageCodec, Traffic
+from acaciayard_wire import ControlPort, MessageCodec, Traffic, watch_callbacks
 
 from ._age import ConfigurationAge
 from ._call_log import CallLog
@@ -212,6 +212,7 @@
 
     async def build(self) -> HostedDaemon:
         settings = self._settings
+        watch_callbacks(self._calls_log.handler_failed)
         port = ControlPort(
             codec=MessageCodec(
                 {
--- a/packages/wire/src/acaciayard_wire/__init__.py
+++ b/packages/wire/src/acaciayard_wire/__init__.py
@@ -2,7 +2,7 @@
 
 from ._codec import MessageCodec, MessageError
 from ._control import Address, ControlPort, DatagramHandler, StreamHandler
-from ._faults import FaultHandler, raise_fault, trace_of
+from ._faults import FaultHandler, raise_fault, trace_of, watch_callbacks
 from ._messages import MAX_MESSAGE_BYTES, MessageStream
 from ._stream import ByteStream, Listener, StreamLostError, StreamRefusedError, connect, listen
 from ._traffic import PeerTraffic, Purpose, Traffic, TrafficTotals
@@ -29,4 +29,5 @@
     "listen",
     "raise_fault",
     "trace_of",
+    "watch_callbacks",
 ]
--- a/packages/wire/src/acaciayard_wire/_faults.py
+++ b/packages/wire/src/acaciayard_wire/_faults.py
@@ -10,11 +10,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import traceback
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
 
-__all__ = ["FaultHandler", "raise_fault", "trace_of"]
+__all__ = ["FaultHandler", "raise_fault", "trace_of", "watch_callbacks"]
 
 #: Number of lines of a traceback that are logged.
 _MAX_TRACE_LINES: Final = 8
@@ -28,6 +29,20 @@
     raise error
 
 
+def watch_callbacks(on_fault: FaultHandler) -> None:
+    """Pass the unexpected exceptions of the running loop's callbacks to `on_fault`.
+
+    These are timers and events of sockets that no task waits for.  The loop goes on after them, and
+    by default writes a traceback to standard error.
+    """
+
+    def handle(_loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        on_fault(error if isinstance(error, Exception) else RuntimeError(context["message"]))
+
+    asyncio.get_running_loop().set_exception_handler(handle)
+
+
 def trace_of(error: Exception) -> str:
     """The end of the traceback of an exception as one line, for logs."""
     text = "".join(traceback.format_exception(error)[-_MAX_TRACE_LINES:])
--- a/packages/wire/tests/test_handler_faults.py
+++ b/packages/wire/tests/test_handler_faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 import anyio
@@ -15,6 +16,7 @@
     Purpose,
     StreamLostError,
     Traffic,
+    watch_callbacks,
 )
 
 
@@ -77,6 +79,21 @@
         self.assertEqual(handled, ["stream", "datagram"])
         self.assertEqual([str(fault) for fault in faults], ["stream", "datagram"])
 
+    def test_failing_timer_is_passed_on(self) -> None:
+        faults: list[Exception] = []
+
+        def fail() -> None:
+            raise ValueError("late")
+
+        async def run() -> None:
+            watch_callbacks(faults.append)
+            asyncio.get_running_loop().call_soon(fail)
+            await anyio.sleep(0.01)
+
+        for use_uvloop in (False, True):
+            anyio.run(run, backend_options={"use_uvloop": use_uvloop})
+        self.assertEqual([str(fault) for fault in faults], ["late", "late"])
+
 
 if __name__ == "__main__":
     unittest.main()
