Datagrams wait for a socket without room, and a closed socket is opened again

The first form of the direct sending dropped what the socket had no room for. On a thin link a lead that tells hundreds of hosts in one go would have left out the last of them by name, each time. Those datagrams wait in the transport again, as they always did; where its loop still closes the socket for an error, that is logged and the socket is opened again.

Tests: test_control_port has a socket without room and a socket that was closed; with the form before, the good datagram of each does not arrive.

--- a/packages/wire/src/acaciayard_wire/_control.py
+++ b/packages/wire/src/acaciayard_wire/_control.py
@@ -146,13 +146,23 @@
             channel.setblocking(False)
             channel.bind((self._ip, port))
             _, protocol = await loop.create_datagram_endpoint(
-                lambda: _DatagramProtocol(channel, self._take_datagram), sock=channel
+                lambda: _DatagramProtocol(channel, self._take_datagram, self._on_datagrams_lost),
+                sock=channel,
             )
         except BaseException:
             channel.close()
             raise
         return protocol
 
+    def _on_datagrams_lost(self, error: Exception | None) -> None:
+        """Open the socket for datagrams again if the event loop has closed it for an error."""
+        if error is not None and self._tasks is not None:
+            self._on_fault(error)
+            self._tasks.start_soon(self._reopen_datagrams)
+
+    async def _reopen_datagrams(self) -> None:
+        self._datagrams = await self._open_datagrams(self.address.port)
+
     def _accept(self, stream: ByteStream) -> None:
         assert self._tasks is not None
         self._tasks.start_soon(self._serve, stream)
@@ -235,13 +245,19 @@
 class _DatagramProtocol(asyncio.DatagramProtocol):
     """Passes received datagrams to a callback, and sends others on the same socket.
 
-    They are not sent by the transport of the event loop: the one of `uvloop` closes the socket for
-    good when a single datagram cannot be sent.
+    The transport of the event loop only sends what the socket has no room for at once: the one of
+    `uvloop` closes the socket when a single datagram cannot be sent.
     """
 
-    def __init__(self, channel: socket.socket, callback: Callable[[bytes, Address], None]) -> None:
+    def __init__(
+        self,
+        channel: socket.socket,
+        callback: Callable[[bytes, Address], None],
+        on_lost: Callable[[Exception | None], None],
+    ) -> None:
         self._channel = channel
         self._callback = callback
+        self._on_lost = on_lost
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -250,13 +266,20 @@
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         self._callback(data, Address(str(addr[0]), addr[1]))
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._on_lost(exc)
+
     def error_received(self, exc: Exception) -> None:
         """Ignore errors such as a closed port at the receiver; probes detect failed daemons."""
 
     def send(self, data: bytes, to: Address) -> None:
-        """Send a datagram; raises `OSError`, also when the socket takes no more at present."""
-        if self._transport is not None and not self._transport.is_closing():
+        """Send a datagram, which waits while the socket has no room; raises `OSError`."""
+        if self._transport is None or self._transport.is_closing():
+            return  # closed, or about to be opened again
+        try:
             self._channel.sendto(data, (to.ip, to.port))
+        except BlockingIOError:
+            self._transport.sendto(data, (to.ip, to.port))
 
     def close(self) -> None:
         if self._transport is not None:
