A reader's promise of its next word has an upper bound

Seen: a message of another daemon that promises the next word in years keeps those who watch the reader of the store from ever reading themselves, so that versions stay away once it falls silent.

Cause: the time was checked from below only.

Change: the message takes 60 s at most.

Test: a further case of test_decoders.DecodersTest.test_what_would_raise_later; on the code before "MessageError not raised".

--- a/packages/hosted/src/acaciayard_hosted/_watch.py
+++ b/packages/hosted/src/acaciayard_hosted/_watch.py
@@ -24,7 +24,7 @@
 import anyio.abc
 import structlog
 from attrs import field, frozen
-from attrs.validators import ge
+from attrs.validators import and_, ge, le
 
 from acaciayard_membership import Member, Membership
 from acaciayard_timers import TimerService
@@ -74,6 +74,8 @@
 _ROUND_INTERVAL: Final = 0.5
 #: Seconds within which a daemon that was asked again does not read again.
 _MIN_LOOK_INTERVAL: Final = 0.8
+#: Milliseconds that a sender may take for its next word; readers wait for up to half of it.
+_MAX_WITHIN_MS: Final = 60_000
 #: Delay of a timer, in seconds, from which the process counts as paused, and the time it is given
 #: to read what has arrived meanwhile.
 _LATE_WAKE: Final = 0.05
@@ -86,7 +88,7 @@
     #: Version that the sender has in force.
     version: int
     #: Milliseconds within which the sender will send the next one.
-    within_ms: int = field(validator=ge(0))
+    within_ms: int = field(validator=and_(ge(0), le(_MAX_WITHIN_MS)))
 
 
 @frozen
--- a/packages/hosted/tests/test_decoders.py
+++ b/packages/hosted/tests/test_decoders.py
@@ -117,6 +117,7 @@
             (CODECS[0], probe),  # a member that is no bytes
             (CODECS[0], [3, 1, "a.name", 80]),  # would be looked up by name
             (CODECS[0], [3, 1, "127.0.0.1", 99_999_999]),
+            (CODECS[0], [64, 1, 10**12]),  # no reader would be missed for 30 years
             (CALL_CODEC, [4, [b"name"]]),  # a trailer without a value
             (CALL_CODEC, [9, 0]),  # asks for nothing, for ever
             (CALL_CODEC, [1, *CALL, FINGERPRINT, [2**63, 1]]),  # a suspicion that none can hold
