--- a/review/harness2.py
+++ b/review/harness2.py
@@ -266,6 +266,8 @@
         self.service = service
         self.id = f"i-{random.getrandbits(32):08x}"
         self.state = "ready"
+        #: The state that it reports, where that is not what a case has it do.
+        self.told_state = ""
         self.slots = 6
         self.work_s = 0.02
         self.answering: Answering = answer_plainly
@@ -284,6 +286,9 @@
         self.beats_every = beats_every
         self._beating = asyncio.create_task(self._beat())
 
+    def note(self, text: str) -> None:
+        self._mesh.record.note(f"server {self.id}: {text}")
+
     def stop_reporting(self) -> None:
         """Send no more liveness reports."""
         if self._beating is not None:
@@ -307,7 +312,7 @@
             "zone": self.machine.zone,
             "version": "v1",
             "slots": self.slots,
-            "state": self.state,
+            "state": self.told_state or self.state,
             "cold-left-ms": 0,
             "seq": self._sequence,
         }
@@ -375,6 +380,8 @@
     end: str = "whole"
     sent_at: float = 0.0
     ended_at: float = 0.0
+    #: Its `Attempt-Id`.
+    id: str = ""
 
 
 async def send(
@@ -688,7 +695,7 @@
             answer = Answer(0, end="late", is_whole=False)
         except (OSError, asyncio.IncompleteReadError) as error:
             answer = Answer(0, end=f"none: {type(error).__name__} {error}", is_whole=False)
-        answer.sent_at, answer.ended_at = sent_at, now()
+        answer.sent_at, answer.ended_at, answer.id = sent_at, now(), name
         self.record.note(
             f"client at {machine.name}: {name} got {answer.status} {answer.end}"
             f" {answer.body[:90]!r}"
