--- a/review/harness2.py
+++ b/review/harness2.py
@@ -794,6 +794,10 @@
 
     async def go() -> int:
         mesh = Mesh(record, folder, zones)
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):  # so that all processes are ended
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             return await asyncio.wait_for(case(mesh), LIMIT_S)
         finally:
@@ -805,7 +809,7 @@
 
     try:
         verdict = asyncio.run(go())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.say(f"could not run: {type(error).__name__} {error}")
         verdict = NOT_RUN
     except Exception:
