--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-import harness2 as h  # noqa: E402
+import harness2 as h
 
 #: Requests that each client sends at once.
 BESIDE = 5
@@ -64,7 +64,9 @@
     ends = min(acknowledged + SERVES_ON_S, from_s + 3.0)
     sent = served = 0
     while h.now() < ends:
-        answers = await asyncio.gather(*(m.request("/read/1") for m in others for _ in range(BESIDE)))
+        answers = await asyncio.gather(
+            *(m.request("/read/1") for m in others for _ in range(BESIDE))
+        )
         sent += len(answers)
         served += sum(answer.status == 200 for answer in answers)
         await asyncio.sleep(0.05)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-import harness2 as h  # noqa: E402
+import harness2 as h
 
 SERVERS, SLOTS = 7, 9
 WORK_S = 0.4
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -616,9 +616,7 @@
 
     async def ask_readiness(self) -> bool:
         try:
-            answer = await asyncio.wait_for(
-                send(self.ip, PORTS["ready"], "GET", "/readiness"), 1.0
-            )
+            answer = await asyncio.wait_for(send(self.ip, PORTS["ready"], "GET", "/readiness"), 1.0)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return False
         return answer.status == 200
@@ -752,8 +750,7 @@
             answer = Answer(0, end=f"none: {type(error).__name__} {error}", is_whole=False)
         answer.sent_at, answer.ended_at, answer.id = sent_at, now(), name
         self.record.note(
-            f"client at {machine.name}: {name} got {answer.status} {answer.end}"
-            f" {answer.text}"
+            f"client at {machine.name}: {name} got {answer.status} {answer.end}" f" {answer.text}"
         )
         return answer
 
