A departure survives every restart of the daemon that acknowledged it

Cause: a new process took over the draining targets of the one before, unless the record of that one said that its daemon had left, which every ordered stop does. Ruled out: that the others had forgotten (the same records bring it back after SIGKILL), that the new process did not ask (it logs the exchange). Related: the next process did not publish what it was told, so a second restart forgot; after a lease nobody knew; a clock that was set back kept the past from being read.

Change: members' records list departures (name, start), apart from targets. A new process takes them over from any record of its host that it did not publish itself, publishes them on, and drops them 300 s after the last word of the target. It does not matter what ended the process before.

--- a/packages/admission/src/acaciayard_admission/_starts.py
+++ b/packages/admission/src/acaciayard_admission/_starts.py
@@ -15,6 +15,9 @@
 `LATE_ANNOUNCEMENT_SECONDS` after that has left; then it counts as a new start.  A clock step thus
 keeps a target out of service for a limited time, and a late announcement of an earlier start never
 reopens a target that has left.
+
+`recent` returns the departures that have to outlive the process, until nothing was heard of their
+targets for `DEPARTURE_RETENTION_SECONDS`, and `restore` adds those of an earlier process.
 """
 
 from __future__ import annotations
@@ -22,13 +25,18 @@
 from collections.abc import Callable
 from typing import Final
 
-from attrs import frozen
+from attrs import evolve, frozen
+
+from acaciayard_membership import Departure
 
-__all__ = ["LATE_ANNOUNCEMENT_SECONDS", "Start", "StartRecords"]
+__all__ = ["DEPARTURE_RETENTION_SECONDS", "LATE_ANNOUNCEMENT_SECONDS", "Start", "StartRecords"]
 
 #: Time for which announcements of a start that has ended may still arrive.  They are delayed over
 #: interrupted links; the longest known interruptions last about 13 s.
 LATE_ANNOUNCEMENT_SECONDS: Final = 30.0
+#: Time for which a departure has to outlive the process after the last announcement of its target.
+#: Targets that leave serve for some more seconds, and announcements are late by seconds.
+DEPARTURE_RETENTION_SECONDS: Final = 300.0
 #: Maximum number of target names that are remembered; a host has one or two targets at a time.
 _MAX_REMEMBERED_NAMES: Final = 256
 
@@ -44,15 +52,15 @@
 
 
 @frozen
-class _Departure:
+class _Record:
     """The newest start of a target name that has left."""
 
-    #: Start time in Unix milliseconds; an upper bound if the report did not identify the start.
-    born: int
+    #: The departure.
+    departure: Departure
     #: When it was reported, by the timer service.
     reported_at: float
-    #: Whether the report identified the start.
-    is_exact: bool
+    #: When the target last announced itself or was reported to leave, by the timer service.
+    heard_at: float
 
 
 class StartRecords:
@@ -61,7 +69,7 @@
     def __init__(self, *, wall: Callable[[], float], now: Callable[[], float]) -> None:
         self._wall = wall
         self._now = now
-        self._departures: dict[str, _Departure] = {}
+        self._records: dict[str, _Record] = {}
         self._reports_start_times = False
 
     @property
@@ -80,19 +88,46 @@
         the clock of this host, which the targets use too.
         """
         born = start.born or round(self._wall() * 1000)
-        previous = self._departures.pop(start.name, None)
-        if previous is not None and start.born and previous.born > born:
-            born = previous.born
-        self._departures[start.name] = _Departure(born, self._now(), is_exact=start.born > 0)
-        if len(self._departures) > _MAX_REMEMBERED_NAMES:
-            del self._departures[next(iter(self._departures))]
+        previous = self._records.get(start.name)
+        if previous is not None and start.born and previous.departure.born > born:
+            born = previous.departure.born
+        self._store(Departure(start.name, born, is_exact=start.born > 0))
+
+    def restore(self, departure: Departure) -> bool:
+        """Record a departure that an earlier process knew; return whether it was new here."""
+        known = self._records.get(departure.target)
+        if known is not None and known.departure.born >= departure.born:
+            return False
+        self._store(departure)
+        return True
+
+    def _store(self, departure: Departure) -> None:
+        now = self._now()
+        self._records.pop(departure.target, None)  # the order is that of the reports
+        self._records[departure.target] = _Record(departure, now, now)
+        if len(self._records) > _MAX_REMEMBERED_NAMES:
+            del self._records[next(iter(self._records))]
+
+    def note_announcement(self, name: str) -> None:
+        """Record that a target has announced itself, which may have left."""
+        record = self._records.get(name)
+        if record is not None:
+            self._records[name] = evolve(record, heard_at=self._now())
+
+    def recent(self, within: float = DEPARTURE_RETENTION_SECONDS) -> tuple[Departure, ...]:
+        """Return the departures of targets that were heard of in the last `within` seconds.
+
+        The latest reported ones come last.
+        """
+        oldest = self._now() - within
+        return tuple(r.departure for r in self._records.values() if r.heard_at >= oldest)
 
     def has_left(self, start: Start) -> bool:
         """Return whether this start, or a later one, has left."""
-        departure = self._departures.get(start.name)
-        if departure is None or start.born > departure.born:
+        record = self._records.get(start.name)
+        if record is None or start.born > record.departure.born:
             return False
-        is_earlier_start = departure.is_exact and 0 < start.born < departure.born
+        is_earlier_start = record.departure.is_exact and 0 < start.born < record.departure.born
         return not (
-            is_earlier_start and self._now() - departure.reported_at > LATE_ANNOUNCEMENT_SECONDS
+            is_earlier_start and self._now() - record.reported_at > LATE_ANNOUNCEMENT_SECONDS
         )
--- a/packages/admission/src/acaciayard_admission/_targets.py
+++ b/packages/admission/src/acaciayard_admission/_targets.py
@@ -7,7 +7,13 @@
 from typing import Final
 
 from acaciayard_callmodel import Call, StartNotice, TargetNotice
-from acaciayard_membership import MAX_TARGETS, TargetInfo, TargetState
+from acaciayard_membership import (
+    MAX_DEPARTURES,
+    MAX_TARGETS,
+    Departure,
+    TargetInfo,
+    TargetState,
+)
 from acaciayard_resources import Configuration, DrainOrder, Service
 from acaciayard_timers import PauseDetector, TimerService
 from acaciayard_wire import Traffic
@@ -34,7 +40,8 @@
     """Registry of all targets on this host.
 
     `publish` is called with the state that other daemons need, whenever that changes, and
-    `on_event` with an event for each change of a target.
+    `on_event` with an event for each change of a target.  `on_departures` is called with the
+    departures that have to outlive this process, whenever those change.
     """
 
     def __init__(
@@ -51,7 +58,10 @@
         budgets: RetryBudgets | None = None,
         is_settled: bool = True,
         on_event: Callable[[TargetEvent], None] = lambda _event: None,
+        on_departures: Callable[[tuple[Departure, ...]], None] = lambda _departures: None,
     ) -> None:
+        self._on_departures = on_departures
+        self._departures: tuple[Departure, ...] = ()
         self._on_event = on_event
         self._suspects = suspects or Suspects(timers=timers)
         self._nested_calls = NestedCalls(budgets or RetryBudgets())
@@ -102,6 +112,11 @@
         """
         return self._sent
 
+    @property
+    def departures(self) -> tuple[Departure, ...]:
+        """Departures that have to outlive this process, by name of the target."""
+        return self._departures
+
     @property
     def limited(self) -> int:
         """Number of targets that state a limit."""
@@ -114,6 +129,7 @@
         ever takes calls again, whatever announcements follow.  A newer start of a target replaces
         the older one.
         """
+        self._starts.note_announcement(announcement.name)
         ignored = self._ignored_because(announcement)
         if ignored is not None:
             self._emit(announcement, "passed_over", ignored.value)
@@ -130,7 +146,9 @@
             )
             self._targets[announcement.name] = target
             self._emit(announcement, "announced")
-        if announcement.sequence and announcement.state is TargetState.DRAINING:
+        is_leaving = announcement.sequence and announcement.state is TargetState.DRAINING
+        # A departure without a start time holds up to its first report, and is not moved on.
+        if is_leaving and (announcement.born or not self._starts.has_left(announcement.start)):
             self.mark_left(announcement.name, born=announcement.born)
         target.renew(announcement, self._queue_length(announcement.service))
         target.lease_until = self._timers.now() + self._lease
@@ -382,15 +400,37 @@
         if not self._starts.has_left(start):
             self._on_event(TargetEvent(name, born, "leaving"))
         self._starts.leave(start)
+        self._note_departures()
         if target is not None:
             self._update_gate(target)
 
+    def restore(self, departures: Iterable[Departure]) -> tuple[Departure, ...]:
+        """Record the departures that an earlier process on this host knew; return the new ones."""
+        restored = tuple(d for d in departures if self._starts.restore(d))
+        if restored:
+            self._note_departures()
+            for target in self._targets.values():
+                self._update_gate(target)
+            self._publish_all()
+        return restored
+
+    def departures_within(self, seconds: float) -> frozenset[Departure]:
+        """Return the departures of targets that were heard of in the last `seconds`."""
+        return frozenset(self._starts.recent(seconds))
+
+    def _note_departures(self) -> None:
+        """Pass on the departures that have to outlive this process, if they have changed."""
+        recent = self._starts.recent()[-MAX_DEPARTURES:]
+        departures = tuple(sorted(recent, key=lambda departure: departure.target))
+        if departures != self._departures:
+            self._departures = departures
+            self._on_departures(departures)
+
     def leave(self, name: str, *, born: int = 0) -> None:
         """Record that a start of a target has left; a newer registered start stays.
 
-        It is published as draining for one more lease, so that other daemons know about it if this
-        daemon restarts meanwhile: some targets go on working, and announcing themselves, for
-        seconds after they have reported that they are leaving.
+        It is published as draining for one more lease: some targets go on working, and announcing
+        themselves, for seconds after they have reported that they are leaving.
         """
         self.mark_left(name, born=born)
         target = self._targets.get(name)
@@ -445,6 +485,7 @@
             now = self._timers.now()
             for name in [n for n, t in self._targets.items() if t.lease_until < now]:
                 self.withdraw(name, "the target no longer announces itself")
+            self._note_departures()
             self._suspects.forget_old()
 
     def _on_pause(self, seconds: float) -> None:
--- a/packages/calls/tests/test_target_starts.py
+++ b/packages/calls/tests/test_target_starts.py
@@ -10,7 +10,16 @@
 
 from acaciayard_admission import Announcement, AnnouncementResult, LocalTargets, TargetEvent
 from acaciayard_callmodel import Answer, NotRun, OutcomeUnknown
-from acaciayard_membership import Member, MemberState, MemberTable, TargetInfo, TargetState
+from acaciayard_admission._starts import DEPARTURE_RETENTION_SECONDS
+from acaciayard_membership import (
+    MAX_DEPARTURES,
+    Departure,
+    Member,
+    MemberState,
+    MemberTable,
+    TargetInfo,
+    TargetState,
+)
 from acaciayard_membership._messages import MEMBER_CODEC
 from acaciayard_resources import Service
 from acaciayard_routing import Picker
@@ -48,6 +57,7 @@
     def setUp(self) -> None:
         self.published: tuple[TargetInfo, ...] = ()
         self.news: list[TargetEvent] = []
+        self.departures: tuple[Departure, ...] = ()
         self.timers = ManualTimers()
         self.targets = self.new_daemon()
 
@@ -59,8 +69,12 @@
             host="near-1",
             publish=self.store_published,
             on_event=self.news.append,
+            on_departures=self.store_departures,
         )
 
+    def store_departures(self, departures: tuple[Departure, ...]) -> None:
+        self.departures = departures
+
     def store_published(self, published: tuple[TargetInfo, ...]) -> None:
         self.published = published
 
@@ -128,6 +142,54 @@
                 self.targets.announce(announcement(SECOND_START_MS, 1))
                 self.assertEqual(self.count_free_slots(), 2)
 
+    def test_restored_departures_hold_for_their_starts_and_for_the_next_process(self) -> None:
+        anyio.run(self.timers.advance, FIRST_START_MS / 1000 + 1)
+        for born in (0, FIRST_START_MS):
+            with self.subTest(born=born):
+                self.targets = self.new_daemon()
+                self.targets.announce(announcement(born, 40))
+                self.targets.leave("t1")
+                for _ in range(2):
+                    known = self.departures
+                    self.targets = self.new_daemon()
+                    self.targets.restore(known)
+                    self.assertEqual(self.departures, known)
+                    heard = self.targets.announce(announcement(born, 41))
+                    self.assertIs(heard, AnnouncementResult.LEFT)
+                self.targets.announce(announcement(SECOND_START_MS, 1))
+                self.assertEqual(self.count_free_slots(), 2)
+
+    def test_departures_expire_once_nothing_is_heard_of_their_targets(self) -> None:
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.targets.run)
+                self.targets.announce(announcement(FIRST_START_MS, 40))
+                self.targets.leave("t1")
+                self.targets.leave("t2", born=FIRST_START_MS)
+                await self.timers.advance(DEPARTURE_RETENTION_SECONDS - 2)
+                self.targets.announce(announcement(FIRST_START_MS, 41))
+                await self.timers.advance(4)
+                self.assertEqual(self.departures, (Departure("t1", FIRST_START_MS),))
+                await self.timers.advance(DEPARTURE_RETENTION_SECONDS)
+                self.assertEqual(self.departures, ())
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+    def test_departures_that_are_passed_on_are_bounded(self) -> None:
+        for number in range(2 * MAX_DEPARTURES):
+            self.targets.leave(f"t{number}", born=FIRST_START_MS)
+        self.assertEqual(len(self.departures), MAX_DEPARTURES)
+        self.assertIn(f"t{2 * MAX_DEPARTURES - 1}", {each.target for each in self.departures})
+
+    def test_repeated_reports_of_leaving_change_nothing(self) -> None:
+        self.targets.announce(announcement(0, 1))
+        self.targets.announce(announcement(0, 2, state=TargetState.DRAINING))
+        known = self.departures
+        anyio.run(self.timers.advance, 1.0)
+        self.targets.announce(announcement(0, 3, state=TargetState.DRAINING))
+        self.assertEqual(self.departures, known)
+
     def test_target_that_left_is_published_as_draining(self) -> None:
         self.targets.announce(announcement(FIRST_START_MS, 40))
         self.targets.leave("t1")
--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -28,6 +28,7 @@
 from acaciayard_http1 import HttpService
 from acaciayard_membership import (
     MEMBERSHIP_MESSAGES,
+    Departure,
     DetectorSettings,
     Member,
     Membership,
@@ -171,18 +172,29 @@
         before = {(t.name, t.born) for t in self._members.table.own.targets if _is_draining(t)}
         self._members.table.set_targets(targets)
         if any(_is_draining(t) and (t.name, t.born) not in before for t in targets):
-            # The announcement that a draining target accepts no new calls must outlive this
-            # process.
-            self._members.flush()
-
-    def _restore_draining(self, past: Member, targets: LocalTargets) -> None:
-        """Mark the targets that this host was draining before its last start, as others recall."""
-        for target in past.targets:
-            if _is_draining(target) and past.state != MemberState.LEFT:
-                self._log.info(
-                    "leaving_recalled", target=target.name, born=target.born, of=past.incarnation
-                )
-                targets.mark_left(target.name, born=target.born)
+            self._members.flush()  # a draining target accepts no new calls
+
+    def _publish_departures(self, departures: tuple[Departure, ...]) -> None:
+        if self._members is None:
+            return
+        before = self._members.table.own.departures
+        self._members.table.set_departures(departures)
+        if not set(departures) <= set(before):
+            self._members.flush()  # a departure must outlive this process
+
+    def _restore_departures(self, past: Member, targets: LocalTargets) -> None:
+        """Take over what an earlier process on this host knew, as the other daemons recall it.
+
+        This holds whatever has ended that process: a target goes on leaving while the daemon beside
+        it is restarted in order.
+        """
+        for departure in targets.restore(past.departures):
+            self._log.info(
+                "leaving_recalled",
+                target=departure.target,
+                born=departure.born,
+                of=past.incarnation,
+            )
 
     def _log_target(self, news: TargetEvent) -> None:
         self._log.info(
@@ -242,6 +254,7 @@
             budgets=self._budgets,
             is_settled=False,
             on_event=self._log_target,
+            on_departures=self._publish_departures,
         )
         calls = CallServer(
             targets=targets,
@@ -255,7 +268,7 @@
         await port.open(settings.control.port, self._tasks)
         await calls.open(settings.calls.ip, settings.calls.port, self._tasks)
         members = self._make_membership(port)
-        members.table.on_previous_incarnation(lambda past: self._restore_draining(past, targets))
+        members.table.on_previous_incarnation(lambda past: self._restore_departures(past, targets))
         RetryLoans(
             budgets=self._budgets,
             members=members.table,
--- a/packages/membership/src/acaciayard_membership/_member.py
+++ b/packages/membership/src/acaciayard_membership/_member.py
@@ -16,10 +16,12 @@
 __all__ = [
     "COUNT",
     "MAX_COUNT",
+    "MAX_DEPARTURES",
     "MAX_NAME_LENGTH",
     "MAX_TARGETS",
     "NAME",
     "PORT",
+    "Departure",
     "Member",
     "MemberState",
     "Suspicion",
@@ -33,6 +35,9 @@
 MAX_NAME_LENGTH: Final = 250
 #: Maximum of targets on one host; usually it has one or two, and a few that are draining.
 MAX_TARGETS: Final = 300
+#: Maximum of departures in one record: a host has one or two targets, and a record with more of the
+#: longest names would be too large for a datagram.
+MAX_DEPARTURES: Final = 24
 #: Maximum of suspicions in one record; daemons publish fewer, the bound guards against bad records.
 _MAX_SUSPICIONS: Final = 100
 #: Length of the fingerprint of a request, in bytes.
@@ -107,6 +112,21 @@
     cold_s: float = field(default=0.0, validator=validate_amount)
 
 
+@frozen
+class Departure:
+    """A start of a target that is leaving or has left, and must not be sent calls again.
+
+    It applies to earlier starts of the target as well, and to none that begins later.
+    """
+
+    #: Name of the target.
+    target: str = field(validator=and_(NAME, min_len(1)))
+    #: Start time in Unix milliseconds by the clock of its host.
+    born: int = field(validator=COUNT)
+    #: Whether the target reports that time; otherwise it is when the leaving was reported.
+    is_exact: bool = True
+
+
 @frozen
 class Suspicion:
     """Evidence that a request ends targets: it was running when they ended.
@@ -181,6 +201,8 @@
     is_listed: bool = False
     #: Its own observations of requests that were running when targets ended.
     suspicions: tuple[Suspicion, ...] = field(default=(), validator=max_len(_MAX_SUSPICIONS))
+    #: Starts of targets on its host that must not be sent calls again, also after it has restarted.
+    departures: tuple[Departure, ...] = field(default=(), validator=max_len(MAX_DEPARTURES))
 
     def with_changes(self, **changes: Any) -> Member:
         """A copy with the given attributes changed."""
--- a/packages/membership/src/acaciayard_membership/_table.py
+++ b/packages/membership/src/acaciayard_membership/_table.py
@@ -14,7 +14,7 @@
 from acaciayard_timers import TimerService
 from acaciayard_wire import MessageError
 
-from ._member import MAX_COUNT, Member, MemberState, Suspicion, TargetInfo
+from ._member import MAX_COUNT, Departure, Member, MemberState, Suspicion, TargetInfo
 from ._messages import MEMBER_CODEC
 
 __all__ = ["BUCKETS", "MemberTable", "PeersByDomain"]
@@ -232,7 +232,8 @@
     def _refute(self, record: Member) -> bool:
         """Supersede a record of this daemon that it did not publish itself by a newer one."""
         own = self.own
-        if record.incarnation < own.incarnation:
+        # An earlier incarnation may have the later number, if the clock has been set back since.
+        if record.incarnation < own.incarnation or record.age > own.age:
             for listener in self._previous_incarnation_listeners:
                 listener(record)
         if record.age <= own.age:
@@ -247,6 +248,11 @@
         if targets != self.own.targets:
             self._update_own(self.own.with_changes(targets=targets))
 
+    def set_departures(self, departures: tuple[Departure, ...]) -> None:
+        """Publish which starts of targets on this host must not be sent calls again."""
+        if departures != self.own.departures:
+            self._update_own(self.own.with_changes(departures=departures))
+
     def set_store_access(self, has_store_access: bool) -> None:
         """Publish whether the platform's store answers this daemon."""
         self._update_own(self.own.with_changes(has_store_access=has_store_access))
--- a/packages/membership/tests/test_table.py
+++ b/packages/membership/tests/test_table.py
@@ -101,6 +101,16 @@
         self.assertEqual(reported, [past])
         self.assertEqual(table.own.incarnation, 5)
 
+    def test_records_of_an_earlier_process_with_a_later_clock_are_reported(self) -> None:
+        """Guards against a past that is not recalled because the clock has been set back."""
+        table = MemberTable(member("own", incarnation=5), ManualTimers())
+        reported: list[Member] = []
+        table.on_previous_incarnation(reported.append)
+        past = member("own", incarnation=8, sequence=9)
+        table.merge(*packed(past))
+        self.assertEqual(reported, [past])
+        self.assertGreater(table.own.age, past.age)
+
     def test_absent_since_includes_left_members(self) -> None:
         table = self.table()
         table.merge(*packed(member("left", state=MemberState.LEFT)))
