A departure that was acknowledged survives the loss of all daemons

Cause: departures were kept in the memory of daemons alone. Ruled out: that the records are lost between daemons at the start (no daemon logs leaving_recalled after the restart, and the store holds keyed.op and keyed.hosts alone).

Change: the daemon beside a target writes its departure to the store, and answers the report when the store has it. A start reads the departures before it admits calls; while the store is out it relies, after 0.6 s, on a record of its host that lists all earlier departures, and after 30 s on the age of what may still arrive. Without the store a report is answered 503 after 0.8 s and is in effect; where the store turns away one daemon, another writes for it. The daemon that leads drops records 300 s after the last write.

--- a/packages/admission/src/acaciayard_admission/__init__.py
+++ b/packages/admission/src/acaciayard_admission/__init__.py
@@ -5,6 +5,7 @@
 from ._line_shares import GatePolicy
 from ._local import LocalExchange
 from ._retry_budgets import RetryBudgets, RetryDecision, SharedRetryBudgets
+from ._starts import DEPARTURE_RETENTION_SECONDS
 from ._suspects import ENDS_TO_BAR, SuspectEvent, Suspects
 from ._target import Announcement, LocalTarget, RunningCall
 from ._target_news import AnnouncementResult, LoggedCall, TargetEvent
@@ -15,6 +16,7 @@
     "Announcement",
     "AnnouncementResult",
     "CallerLimiter",
+    "DEPARTURE_RETENTION_SECONDS",
     "ENDS_TO_BAR",
     "Gate",
     "GatePolicy",
--- a/packages/admission/src/acaciayard_admission/_starts.py
+++ b/packages/admission/src/acaciayard_admission/_starts.py
@@ -114,6 +114,11 @@
         if record is not None:
             self._records[name] = evolve(record, heard_at=self._now())
 
+    def departure_of(self, name: str) -> Departure | None:
+        """Return the newest departure of a target, or `None` if none is known."""
+        record = self._records.get(name)
+        return record.departure if record is not None else None
+
     def recent(self, within: float = DEPARTURE_RETENTION_SECONDS) -> tuple[Departure, ...]:
         """Return the departures of targets that were heard of in the last `within` seconds.
 
--- a/packages/admission/src/acaciayard_admission/_targets.py
+++ b/packages/admission/src/acaciayard_admission/_targets.py
@@ -414,6 +414,10 @@
             self._publish_all()
         return restored
 
+    def departure_of(self, name: str) -> Departure | None:
+        """Return the newest departure of a target, or `None` if none is known."""
+        return self._starts.departure_of(name)
+
     def departures_within(self, seconds: float) -> frozenset[Departure]:
         """Return the departures of targets that were heard of in the last `seconds`."""
         return frozenset(self._starts.recent(seconds))
--- a/packages/calls/tests/test_target_starts.py
+++ b/packages/calls/tests/test_target_starts.py
@@ -9,8 +9,8 @@
 from call_harness import configuration
 
 from acaciayard_admission import Announcement, AnnouncementResult, LocalTargets, TargetEvent
-from acaciayard_callmodel import Answer, NotRun, OutcomeUnknown
 from acaciayard_admission._starts import DEPARTURE_RETENTION_SECONDS
+from acaciayard_callmodel import Answer, NotRun, OutcomeUnknown
 from acaciayard_membership import (
     MAX_DEPARTURES,
     Departure,
--- a/packages/cli/src/acaciayard_cli/_explain.py
+++ b/packages/cli/src/acaciayard_cli/_explain.py
@@ -30,6 +30,8 @@
     "member",
     "feeder",
     "leaving_recalled",
+    "departures_known",
+    "departure_not_acknowledged",
     "cap_seat",
     "connection_failed",
     "handler_failed",
--- a/packages/hosted/src/acaciayard_hosted/__init__.py
+++ b/packages/hosted/src/acaciayard_hosted/__init__.py
@@ -4,7 +4,7 @@
 from ._eras import EraChange, EraGuard
 from ._follower import StoreFollower, StoreKey
 from ._logs import BoundedLines, bounded_logger
-from ._platform import Handler, Platform, RolloutWords
+from ._platform import Handler, Platform, RolloutWords, StoredDepartures
 from ._readiness import Readiness
 from ._relay import VersionRelay
 from ._rollouts import HostedRollouts
@@ -32,6 +32,7 @@
     "RolloutWords",
     "StoreFollower",
     "StoreKey",
+    "StoredDepartures",
     "VersionRelay",
     "bounded_logger",
     "run_platform_daemon",
--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -48,8 +48,11 @@
 from ._age import ConfigurationAge
 from ._call_log import CallLog
 from ._daemon import HostedDaemon
+from ._departure_messages import DEPARTURE_MESSAGES
+from ._departures import DepartureStore
 from ._directory import DIRECTORY_MESSAGES, HostDirectory
 from ._eras import EraGuard
+from ._expired_departures import ExpiredDepartures
 from ._feeding import Feeding
 from ._follower import StoreFollower
 from ._gauges import (
@@ -147,6 +150,7 @@
             tell=self._note_rollout,
         )
         self._members: Membership | None = None
+        self._departures: DepartureStore | None = None
         self._suspects = Suspects(
             timers=timers,
             dialect=platform.dialect,
@@ -175,26 +179,8 @@
             self._members.flush()  # a draining target accepts no new calls
 
     def _publish_departures(self, departures: tuple[Departure, ...]) -> None:
-        if self._members is None:
-            return
-        before = self._members.table.own.departures
-        self._members.table.set_departures(departures)
-        if not set(departures) <= set(before):
-            self._members.flush()  # a departure must outlive this process
-
-    def _restore_departures(self, past: Member, targets: LocalTargets) -> None:
-        """Take over what an earlier process on this host knew, as the other daemons recall it.
-
-        This holds whatever has ended that process: a target goes on leaving while the daemon beside
-        it is restarted in order.
-        """
-        for departure in targets.restore(past.departures):
-            self._log.info(
-                "leaving_recalled",
-                target=departure.target,
-                born=departure.born,
-                of=past.incarnation,
-            )
+        if self._departures is not None:
+            self._departures.publish(departures)
 
     def _log_target(self, news: TargetEvent) -> None:
         self._log.info(
@@ -231,6 +217,7 @@
                     **MEMBERSHIP_MESSAGES,
                     **RELAY_MESSAGES,
                     **WATCH_MESSAGES,
+                    **DEPARTURE_MESSAGES,
                     **DIRECTORY_MESSAGES,
                     **ROLLOUT_MESSAGES,
                     **QUOTA_MESSAGES,
@@ -268,7 +255,6 @@
         await port.open(settings.control.port, self._tasks)
         await calls.open(settings.calls.ip, settings.calls.port, self._tasks)
         members = self._make_membership(port)
-        members.table.on_previous_incarnation(lambda past: self._restore_departures(past, targets))
         RetryLoans(
             budgets=self._budgets,
             members=members.table,
@@ -279,6 +265,15 @@
         )
         client = self._platform.open_store(settings, timers=self._timers, traffic=self._traffic)
         store = self._store = EraGuard(client, log=self._log)
+        departures = self._departures = DepartureStore(
+            store=store,
+            targets=targets,
+            members=members,
+            port=port,
+            timers=self._timers,
+            seed=self._random,
+            log=self._log,
+        )
         caps = hosted_caps(
             settings,
             members=members,
@@ -328,10 +323,6 @@
             log=self._log,
         )
 
-        def note_met() -> None:
-            targets.settle()
-            caps.settle()
-
         directory = HostDirectory(
             store=store,
             members=members,
@@ -342,13 +333,17 @@
             rollouts=rollouts,
             port=port,
             leads=lambda: feeding.is_lead,
-            on_met=note_met,
+            on_met=caps.settle,
+        )
+        expired = ExpiredDepartures(
+            store=store, timers=self._timers, log=self._log, leads=lambda: feeding.is_lead
         )
         store.on_change(rollouts.note_era)
         store.on_change(directory.note_era)
+        store.on_change(departures.note_era)
         readiness = Readiness(self._platform.readiness_path, self._versions, log=self._log)
         services = await self._open_services(
-            targets, readiness, dispatcher, members, caps, follower, watch, port
+            targets, departures, readiness, dispatcher, members, caps, follower, watch, port
         )
 
         return HostedDaemon(
@@ -367,6 +362,8 @@
             rollouts=rollouts,
             caps=caps.caps,
             directory=directory,
+            departures=departures,
+            expired_departures=expired,
             targets=targets,
             calls=calls,
             entry=entry,
@@ -470,6 +467,7 @@
     async def _open_services(
         self,
         targets: LocalTargets,
+        departures: DepartureStore,
         readiness: Readiness,
         dispatcher: Dispatcher,
         members: Membership,
@@ -489,6 +487,7 @@
             dispatcher=dispatcher,
             budgets=self._budgets,
             targets=targets,
+            departures=departures,
             suspects=self._suspects,
             rollouts=self._book,
             lines=self._lines,
@@ -514,7 +513,7 @@
         opened = []
         for address, handler in (
             (settings.readiness, readiness.answer),
-            (settings.announcements, self._platform.announcements(targets, self._log)),
+            (settings.announcements, self._platform.announcements(targets, departures, self._log)),
             (settings.metrics, page.answer),
         ):
             service = HttpService(
--- a/packages/hosted/src/acaciayard_hosted/_daemon.py
+++ b/packages/hosted/src/acaciayard_hosted/_daemon.py
@@ -17,7 +17,9 @@
 from acaciayard_quotas import MeshCaps
 from acaciayard_timers import EventLoopTimers, PauseDetector, ProcessorPart
 
+from ._departures import DepartureStore
 from ._directory import HostDirectory
+from ._expired_departures import ExpiredDepartures
 from ._feeding import Feeding
 from ._follower import StoreFollower
 from ._logs import BoundedLines
@@ -79,6 +81,10 @@
     caps: MeshCaps
     #: Discovers other daemons.
     directory: HostDirectory
+    #: Keeps the departures of targets on this host.
+    departures: DepartureStore
+    #: Drops expired departures from the store.
+    expired_departures: ExpiredDepartures
     #: Targets on this host.
     targets: LocalTargets
     #: Server for calls handed over by other daemons.
@@ -106,6 +112,8 @@
             tasks.start_soon(part)
         for exchange in (
             self.directory.run,
+            self.departures.run,
+            self.expired_departures.run,
             self.relay.run,
             self.feeding.run,
             self.rollouts.run,
--- a/packages/hosted/src/acaciayard_hosted/_directory.py
+++ b/packages/hosted/src/acaciayard_hosted/_directory.py
@@ -50,7 +50,7 @@
 #: them, has 12 exchanges.
 _LISTED_SHARE: Final = 0.25
 _MIN_LISTED: Final = 12
-#: Seconds after the start from which no more state from before the start is expected. Daemons
+#: Seconds after the start from which no more caps from before the start are expected. Daemons
 #: answer within milliseconds; when all have started at once, none has any such state.
 _SETTLE_DELAY: Final = 0.6
 #: Seconds that a starting daemon waits for a version from its peers before it reads the store
--- a/packages/hosted/src/acaciayard_hosted/_gauges.py
+++ b/packages/hosted/src/acaciayard_hosted/_gauges.py
@@ -14,6 +14,7 @@
 from acaciayard_wire import ControlPort, Traffic
 
 from ._call_log import CallLog
+from ._departures import DepartureStore
 from ._eras import EraGuard
 from ._follower import StoreFollower
 from ._logs import BoundedLines
@@ -51,6 +52,8 @@
     budgets: RetryBudgets
     #: Targets on this host.
     targets: LocalTargets
+    #: Departures of targets on this host.
+    departures: DepartureStore
     #: Requests suspected of ending targets.
     suspects: Suspects
     #: Rollouts of services to other versions.
@@ -119,6 +122,12 @@
         ),
         Gauge("targets_ended", "Targets that ended at work so far", lambda: of.targets.ended),
         Gauge("targets_limited", "Targets here that state a limit", lambda: of.targets.limited),
+        Gauge("departures", "Departures that outlive this process", lambda: of.departures.known),
+        Gauge(
+            "departures_unstored",
+            "Departures among them that the store does not have yet",
+            lambda: of.departures.unstored,
+        ),
         Gauge("suspects", "Requests under suspicion", lambda: of.suspects.suspected),
         Gauge("barred", "Requests that are refused", lambda: of.suspects.barred),
         Gauge("calls_barred", "Calls refused as barred", lambda: of.suspects.refused),
--- a/packages/hosted/src/acaciayard_hosted/_platform.py
+++ b/packages/hosted/src/acaciayard_hosted/_platform.py
@@ -20,7 +20,7 @@
 from ._settings import HostedSettings
 from ._versions import ConfigurationReader
 
-__all__ = ["Handler", "Platform", "RolloutWords"]
+__all__ = ["Handler", "Platform", "RolloutWords", "StoredDepartures"]
 
 #: Answers HTTP requests at one of the addresses that the platform uses.
 Handler = Callable[[RequestHead, bytes], Awaitable[HttpReply]]
@@ -34,6 +34,16 @@
     ) -> KeyedLog: ...
 
 
+class StoredDepartures(Protocol):
+    """What a handler of announcements waits for before it acknowledges a departure."""
+
+    async def wait_stored(self, target: str) -> bool:
+        """Wait until the departure of a target outlives all daemons; return whether it does.
+
+        If not, the report of the target must not be acknowledged; it has taken effect all the same.
+        """
+
+
 class RolloutWords(Protocol):
     """The platform's encoding of rollout orders and rollout status."""
 
@@ -73,7 +83,7 @@
     #: Creates the client of the store.
     open_store: OpenStore
     #: Creates the handler of targets' announcements; it logs announcements that it cannot use.
-    announcements: Callable[[LocalTargets, FilteringBoundLogger], Handler]
+    announcements: Callable[[LocalTargets, StoredDepartures, FilteringBoundLogger], Handler]
     #: Encoding of rollout orders, and of the status shown to operators.
     rollouts: RolloutWords
     #: Path of the platform's readiness check.
--- a/packages/hosted/tests/keyed_standin.py
+++ b/packages/hosted/tests/keyed_standin.py
@@ -99,7 +99,8 @@
             return Unavailable("down")
         records = self._records.get(stream, [])
         newest = {record.key: self._seen_now(record) for record in records}
-        return KeyedSlice(tuple(newest.values()), self._position(len(records)))
+        kept = tuple(record for record in newest.values() if record.value)
+        return KeyedSlice(kept, self._position(len(records)))
 
     async def changes(
         self, stream: str, *, start: int, wait: float, is_fresh: bool = False
--- a/packages/membership/src/acaciayard_membership/_member.py
+++ b/packages/membership/src/acaciayard_membership/_member.py
@@ -203,6 +203,8 @@
     suspicions: tuple[Suspicion, ...] = field(default=(), validator=max_len(_MAX_SUSPICIONS))
     #: Starts of targets on its host that must not be sent calls again, also after it has restarted.
     departures: tuple[Departure, ...] = field(default=(), validator=max_len(MAX_DEPARTURES))
+    #: Whether `departures` includes what earlier processes on its host knew.
+    knows_departures: bool = False
 
     def with_changes(self, **changes: Any) -> Member:
         """A copy with the given attributes changed."""
--- a/packages/membership/src/acaciayard_membership/_table.py
+++ b/packages/membership/src/acaciayard_membership/_table.py
@@ -248,10 +248,17 @@
         if targets != self.own.targets:
             self._update_own(self.own.with_changes(targets=targets))
 
-    def set_departures(self, departures: tuple[Departure, ...]) -> None:
-        """Publish which starts of targets on this host must not be sent calls again."""
-        if departures != self.own.departures:
-            self._update_own(self.own.with_changes(departures=departures))
+    def set_departures(
+        self, departures: tuple[Departure, ...], *, is_complete: bool = False
+    ) -> None:
+        """Publish which starts of targets on this host must not be sent calls again.
+
+        `is_complete` tells whether they include what earlier processes on this host knew.
+        """
+        if (departures, is_complete) != (self.own.departures, self.own.knows_departures):
+            self._update_own(
+                self.own.with_changes(departures=departures, knows_departures=is_complete)
+            )
 
     def set_store_access(self, has_store_access: bool) -> None:
         """Publish whether the platform's store answers this daemon."""
