Answers end at their route's time, at the entry and beside the target

Cause: the deadline of a call ended with the head of its answer. The daemon of the caller then allowed each part of the body 30 s, the daemon beside the target cancelled the deadline, and a trickle never ended. Ruled out: that calls without any answer are late too (they end at the deadline).

Change: the deadline covers the whole answer. Beside the target it closes the connection to the target, also while the other daemon does not read; at the entry it ends the answer, also while the caller does not read or an earlier answer is due. Nothing passed on: 504. Otherwise the connection is reset: an orderly end would make an answer without a length look complete. Logs and metrics say `cut`.

--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -62,6 +62,8 @@
 _CONNECT_TIMEOUT_SECONDS: Final = 0.25
 #: Status of a response from another server, at the address that the target had before.
 _MISDIRECTED: Final = 421
+#: Timeout for the body of a response that refuses a call.
+_REFUSAL_BODY_SECONDS: Final = 0.1
 _ABORTED_REFUSAL: Final = NotRun("the call was given up before it was sent", 0.1)
 
 
@@ -366,7 +368,7 @@
         self._hear_notice(head)
         if dialect.not_run and first_header(head.headers, dialect.not_run):
             self._reusable = may_reuse(head, self._call)
-            await self._read_whole()
+            await self._finish_refusal()
             assert self._target is not None
             if head.status == _MISDIRECTED and dialect.expected_target:
                 self._targets.note_misdirected(self._target)
@@ -421,6 +423,19 @@
                 return b"".join(parts), part
             parts.append(part.data)
 
+    async def _finish_refusal(self) -> None:
+        """Read the rest of a refusal, so that its connection can be reused.
+
+        The head has said all that matters; a connection whose body does not end soon is closed.
+        """
+        size = 0
+        with self._timers.timeout(_REFUSAL_BODY_SECONDS), contextlib.suppress(StreamLostError):
+            while size <= LARGEST_WHOLE_BODY:
+                part = await self.next_part()
+                if isinstance(part, End):
+                    return
+                size += len(part.data)
+
     async def next_part(self) -> BodyPart | End:
         try:
             part = await self._open().reader.next_part()
@@ -428,6 +443,8 @@
             raise StreamLostError(f"the target's answer makes no sense: {error}") from error
         except StreamLostError as error:
             await self._connection_lost(error)
+            if self._is_aborted:
+                raise StreamLostError("the call ended before its answer was complete") from error
             raise
         if isinstance(part, End):
             self._release(reuse=self._reusable and self._body_sent)
--- a/packages/callmodel/src/acaciayard_callmodel/_events.py
+++ b/packages/callmodel/src/acaciayard_callmodel/_events.py
@@ -38,7 +38,7 @@
     service: str = ""
     #: Version of the configuration with which the request was matched.
     version: int = 0
-    #: `"answered"`, `"not_run"`, `"unknown"`, `"rejected"` or `"caller_gone"`.
+    #: `"answered"`, `"cut"`, `"not_run"`, `"unknown"`, `"rejected"` or `"caller_gone"`.
     outcome: str = "caller_gone"
     #: Status sent to the caller, 0 for none.
     status: int = 0
@@ -81,7 +81,8 @@
     request_id: str
     #: Service of the target.
     service: str
-    #: `"answered"`, `"not_run"` or `"unknown"`.
+    #: `"answered"`, `"cut"`, `"not_run"` or `"unknown"`; `"cut"` follows `"answered"`, which is
+    #: reported when the response begins.
     outcome: str
     #: Reason for an outcome other than `"answered"`.
     reason: str
--- a/packages/calls/src/acaciayard_calls/_answers.py
+++ b/packages/calls/src/acaciayard_calls/_answers.py
@@ -29,11 +29,15 @@
 from ._attempt import Attempt
 from ._refusals import not_run_bytes, unknown_bytes
 
-__all__ = ["AnswerWriter"]
+__all__ = ["AnswerCutError", "AnswerWriter"]
 
 _BODILESS_STATUSES: Final = (204, 304)
 
 
+class AnswerCutError(StreamLostError):
+    """A response has begun and will not be complete; its connection is reset."""
+
+
 class AnswerWriter:
     """Writes the responses of one connection.
 
@@ -99,14 +103,42 @@
         )
         await self._stream.send(data if bodiless else data + answer.body)
 
-    async def relay(self, head: RequestHead, plan: Plan, answer: Answer, attempt: Attempt) -> None:
-        """Relay a target's response; a truncated body aborts the caller's connection."""
-        if answer.is_whole and answer.ends_by_close:
-            await self._relay_until_close(answer)
-            return
-        if answer.is_whole:
+    async def relay(
+        self, head: RequestHead, plan: Plan, answer: Answer, attempt: Attempt, *, deadline: float
+    ) -> None:
+        """Relay a target's response; a truncated body resets the caller's connection.
+
+        At the deadline, on the clock of the timer service, the connection is reset whether the
+        target does not send or the caller does not read.  Raises `AnswerCutError` unless the caller
+        has disconnected.
+        """
+        if answer.is_whole and not answer.ends_by_close:
             await self.send_whole(head, answer)
             return
+        expiry = self._timers.call_at(deadline, lambda: self._expire(attempt))
+        try:
+            if answer.is_whole:
+                await self._relay_until_close(answer)
+            else:
+                await self._relay_parts(head, plan, answer, attempt)
+        except BaseException as error:
+            is_caller_gone = self._stream.is_lost and not attempt.abort_reason
+            self._stream.reset()
+            if isinstance(error, StreamLostError) and not is_caller_gone:
+                raise AnswerCutError(attempt.abort_reason or str(error)) from error
+            raise
+        finally:
+            expiry.cancel()
+
+    def _expire(self, attempt: Attempt) -> None:
+        """End a response that is not complete at its deadline."""
+        attempt.abort("the answer was not complete before the deadline")
+        self._stream.reset()
+
+    async def _relay_parts(
+        self, head: RequestHead, plan: Plan, answer: Answer, attempt: Attempt
+    ) -> None:
+        """Relay a response whose body is still arriving."""
         framing = Framing.CHUNKED
         if answer.length != UNKNOWN_LENGTH:
             framing = Framing.SIZED
@@ -123,11 +155,7 @@
                 keep_alive=self._keeps_alive(head),
             )
         )
-        try:
-            await self._relay_body(plan, attempt, framing)
-        except BaseException:
-            self._stream.abort()
-            raise
+        await self._relay_body(plan, attempt, framing)
         self._is_mid_answer = False
         if framing is Framing.UNTIL_CLOSE:
             self._stream.close()
--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -195,7 +195,7 @@
         self, group: ExceptionGroup[HttpError], request: CallerRequest | None
     ) -> None:
         if self._answers.is_mid_answer:
-            self._stream.abort()
+            self._stream.reset()
             return
         if request is None:  # the malformed request is answered after the earlier ones
             await self._pipeline.all_ended()
--- a/packages/calls/src/acaciayard_calls/_losses.py
+++ b/packages/calls/src/acaciayard_calls/_losses.py
@@ -38,6 +38,8 @@
     BARRED = "barred"
     #: The target returned a server error.
     FAILED = "failed"
+    #: Its response broke off, or was not complete before the deadline.
+    CUT = "cut"
     #: It is unknown whether it ran.
     UNKNOWN = "unknown"
     #: The caller disconnected.
@@ -67,6 +69,8 @@
             return Loss.NOT_TAKEN
         case "unknown":
             return Loss.UNKNOWN
+        case "cut":
+            return Loss.CUT
     return Loss.CALLER_GONE
 
 
--- a/packages/calls/src/acaciayard_calls/_request_runs.py
+++ b/packages/calls/src/acaciayard_calls/_request_runs.py
@@ -31,7 +31,7 @@
 from acaciayard_routing import Plan, Router
 from acaciayard_wire import ByteStream, StreamLostError
 
-from ._answers import AnswerWriter
+from ._answers import AnswerCutError, AnswerWriter
 from ._attempt import Answered, Attempt
 from ._claimer import AlreadyClaimed, Claimed, Claimer, stored_outcome_of
 from ._identity import Identity, counted_of, identity_of
@@ -258,10 +258,14 @@
         if watch.is_given_up and not isinstance(outcome, Answered):
             request.note("caller_gone", 0, outcome.reason)
             return False
-        return await self._finish(request, plan, outcome)
+        return await self._finish(request, call, plan, outcome)
 
     async def _finish(
-        self, request: CallerRequest, plan: Plan, outcome: Answered | NotRun | OutcomeUnknown
+        self,
+        request: CallerRequest,
+        call: Call,
+        plan: Plan,
+        outcome: Answered | NotRun | OutcomeUnknown,
     ) -> bool:
         head = request.head
         is_barred = isinstance(outcome, NotRun) and outcome.is_barred
@@ -271,16 +275,8 @@
         if not is_good and request.parent is not None:
             self._context.targets.note_inner_lost(request.parent)
         match outcome:
-            case Answered(answer, attempt):
-                try:
-                    if self._pipeline.first is not request:
-                        request.buffered_bytes += len(answer.body)
-                        await self._parts.wait_turn(request)
-                    await self._answers.relay(head, plan, answer, attempt)
-                finally:
-                    attempt.close()
-                request.note("answered", answer.status)
-                return answer.status < 500
+            case Answered():
+                return await self._relay(request, call, plan, outcome)
             case NotRun():
                 request.note("not_run", 503, outcome.reason)
                 request.ended.retry_after = outcome.retry_after
@@ -297,6 +293,37 @@
                 await self._answers.send_unknown(head, outcome, 504)
         return False
 
+    async def _relay(
+        self, request: CallerRequest, call: Call, plan: Plan, answered: Answered
+    ) -> bool:
+        """Relay a target's response in its turn; returns whether the target succeeded."""
+        answer, attempt = answered.answer, answered.attempt
+        try:
+            if self._pipeline.first is not request:
+                request.buffered_bytes += len(answer.body)
+                await self._wait_turn(request, call, attempt)
+            if not answer.is_whole and attempt.abort_reason:
+                unknown = OutcomeUnknown(attempt.abort_reason)
+                return await self._finish(request, call, plan, unknown)
+            await self._answers.relay(request.head, plan, answer, attempt, deadline=call.deadline)
+        except AnswerCutError as error:
+            request.note("cut", answer.status, str(error))
+            raise
+        finally:
+            attempt.close()
+        request.note("answered", answer.status)
+        return answer.status < 500
+
+    async def _wait_turn(self, request: CallerRequest, call: Call, attempt: Attempt) -> None:
+        """Wait for the turn of a response; at the deadline of its call the target is let go."""
+        expiry = self._timers.call_at(
+            call.deadline, lambda: attempt.abort("its turn did not come before the deadline")
+        )
+        try:
+            await self._parts.wait_turn(request)
+        finally:
+            expiry.cancel()
+
     # --- idempotency keys ---------------------------------------------------------------------
 
     async def _run_keyed(
@@ -331,7 +358,7 @@
             stored = stored_outcome_of(outcome)
         finally:
             claimer.finish(claimed, stored)
-        return await self._finish(request, plan, outcome)
+        return await self._finish(request, call, plan, outcome)
 
     async def _repeat(
         self, head: RequestHead, call: Call, already_claimed: AlreadyClaimed, claimer: Claimer
@@ -356,7 +383,7 @@
     ) -> bool:
         admitted = await self._context.dispatcher.admit(call, plan, router)
         if not isinstance(admitted, Attempt):
-            return await self._finish(request, plan, admitted)
+            return await self._finish(request, call, plan, admitted)
         request.is_handed_over = True
         try:
             if request.head.expects_continue:
@@ -378,8 +405,8 @@
             outcome = await attempt.exchange.answer()
         attempt.end(outcome)
         if isinstance(outcome, Answer):
-            return await self._finish(request, plan, Answered(outcome, attempt))
-        return await self._finish(request, plan, outcome)
+            return await self._finish(request, call, plan, Answered(outcome, attempt))
+        return await self._finish(request, call, plan, outcome)
 
     async def _pump_body(self, request: CallerRequest, attempt: Attempt, plan: Plan) -> None:
         """Forward the request body; if the target is lost, its response reports that."""
--- a/packages/cli/src/acaciayard_cli/_explain.py
+++ b/packages/cli/src/acaciayard_cli/_explain.py
@@ -91,6 +91,8 @@
         case "not_run":
             back = f"; the caller may come back in {ended['retry_after_s']} s"
             return f"refused {where}, not run: {_refusals(tries)}; last: {ended['reason']}{back}"
+        case "cut":
+            return f"answer of status {ended['status']} broken off {where}: {ended['reason']}"
         case "unknown":
             last = tries[-1].host if tries else "no host"
             return f"unknown outcome {where}: sent to {last}, {ended['reason']}"
--- a/packages/handover/src/acaciayard_handover/_server.py
+++ b/packages/handover/src/acaciayard_handover/_server.py
@@ -21,7 +21,7 @@
 )
 from acaciayard_http1 import BodyPart, End
 from acaciayard_membership import Suspicion
-from acaciayard_timers import PauseDetector, ProcessorPart, Subscription, TimerService
+from acaciayard_timers import PauseDetector, ProcessorPart, TimerService
 from acaciayard_wire import (
     ByteStream,
     Listener,
@@ -59,6 +59,9 @@
 #: Time without data after which the bytes requested from a sender are released to other transfers;
 #: at 2.5 Mbit/s the requested bytes take 40 ms.
 _STALL_TIMEOUT_SECONDS: Final = 0.5
+#: Time after the deadline of a call at which the stream of its response is cut, if the calling
+#: daemon has not read what came before.
+_UNREAD_CUT_SECONDS: Final = 0.1
 _PAUSED_REFUSAL: Final = Refused("the daemon of the target stood still", 0.1, False, 1.0)
 
 
@@ -184,9 +187,9 @@
         expiry = self._timers.call_at(exchange.call.deadline, exchange.abort)
         try:
             if head.is_held:
-                await self._run_held(exchange, messages, expiry)
+                await self._run_held(exchange, messages)
             else:
-                await self._run(exchange, messages, expiry, is_whole=head.is_whole)
+                await self._run(exchange, messages, is_whole=head.is_whole)
         finally:
             expiry.cancel()
             messages.channel.watch_lost(None)
@@ -211,12 +214,7 @@
         )
 
     async def _run(
-        self,
-        exchange: LocalExchange,
-        messages: MessageStream,
-        expiry: Subscription,
-        *,
-        is_whole: bool,
+        self, exchange: LocalExchange, messages: MessageStream, *, is_whole: bool
     ) -> None:
         refusal = await exchange.start()
         if refusal is not None:
@@ -226,15 +224,13 @@
             return
         messages.channel.send_nowait(ADMITTED)
         if is_whole:
-            await self._answer(exchange, messages, expiry)
+            await self._answer(exchange, messages)
             return
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._forward_body, exchange, messages)
-            await self._answer(exchange, messages, expiry)
+            await self._answer(exchange, messages)
 
-    async def _run_held(
-        self, exchange: LocalExchange, messages: MessageStream, expiry: Subscription
-    ) -> None:
+    async def _run_held(self, exchange: LocalExchange, messages: MessageStream) -> None:
         """Run a call whose body is sent only after admission.
 
         A call with a large body takes a slot only once the body has been received.  Nothing is sent
@@ -259,7 +255,7 @@
         if refusal is not None:
             await self._refuse(refusal, exchange, messages)
             return
-        await self._answer(exchange, messages, expiry)
+        await self._answer(exchange, messages)
 
     async def _receive_requested_body(
         self, exchange: LocalExchange, messages: MessageStream
@@ -341,11 +337,8 @@
             )
         )
 
-    async def _answer(
-        self, exchange: LocalExchange, messages: MessageStream, expiry: Subscription
-    ) -> None:
+    async def _answer(self, exchange: LocalExchange, messages: MessageStream) -> None:
         answer = await exchange.answer()
-        expiry.cancel()
         match answer:
             case NotRun():
                 await self._refuse(answer, exchange, messages)
@@ -358,20 +351,40 @@
                 if not answer.is_whole:
                     await self._relay_body(exchange, messages)
 
+    async def _relay_body(self, exchange: LocalExchange, messages: MessageStream) -> None:
+        """Relay the body of a response until its end, the deadline of the call at the latest.
+
+        The call holds its slot until then, so a calling daemon that does not read must not keep it.
+        """
+        cut = self._timers.call_at(
+            exchange.call.deadline + _UNREAD_CUT_SECONDS, messages.channel.abort
+        )
+        reason = ""
+        try:
+            reason = await self._relay_parts(exchange, messages)
+        except StreamLostError as error:
+            reason = str(error)
+            raise
+        finally:
+            cut.cancel()
+            if reason:
+                self._report_outcome(exchange, "cut", reason)
+
     @staticmethod
-    async def _relay_body(exchange: LocalExchange, messages: MessageStream) -> None:
+    async def _relay_parts(exchange: LocalExchange, messages: MessageStream) -> str:
+        """Relay a body; return why it broke off at the target, or an empty string at its end."""
         while True:
             try:
                 part = await exchange.next_part()
             except StreamLostError as error:
                 await messages.send(Lost(str(error)))
-                return
+                return str(error)
             match part:
                 case BodyPart(data):
                     await messages.send(Part(data))
                 case End(trailers):
                     await messages.send(Finish(flatten_headers(trailers)))
-                    return
+                    return ""
 
 
 async def _receive_pushed_body(_exchange: LocalExchange, messages: MessageStream) -> bytes:
--- a/packages/resources/src/acaciayard_resources/_model.py
+++ b/packages/resources/src/acaciayard_resources/_model.py
@@ -121,7 +121,7 @@
 
     #: Name of the policy.
     name: str = checked(_NAME)
-    #: Seconds for the whole call, retries included, up to the answer's head.
+    #: Seconds for the whole call, retries and the body of the answer included.
     total_s: float = checked(Number(0.01, _LONGEST_SECONDS), default=15.0)
     #: Seconds a body may stand still.
     idle_s: float = checked(Number(0.1, _LONGEST_SECONDS), default=30.0)
--- a/packages/wire/src/acaciayard_wire/_stream.py
+++ b/packages/wire/src/acaciayard_wire/_stream.py
@@ -8,6 +8,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from typing import Final, cast
@@ -20,6 +23,8 @@
 _READ_HIGH_WATER: Final = 256 * 1024
 #: Unwritten bytes above which `send` waits.
 _WRITE_HIGH_WATER: Final = 256 * 1024
+#: Value of `SO_LINGER` with which a socket is reset when it is closed.
+_LINGER_RESET: Final = struct.pack("ii", 1, 0)
 
 
 class StreamLostError(Exception):
@@ -209,10 +214,23 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Close at once and discard unwritten data, so that the other end sees a broken stream."""
+        """Close at once and discard unwritten data.
+
+        The other end sees the end of the stream, perhaps in the middle of a message.
+        """
         if self._transport is not None:
             self._transport.abort()
 
+    def reset(self) -> None:
+        """Close at once with a reset, so that the other end cannot take the stream for complete."""
+        if self._transport is None or self._lost:
+            return
+        own = self._transport.get_extra_info("socket")
+        if own is not None:
+            with contextlib.suppress(OSError):  # the socket is closed already
+                own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+        self._transport.abort()
+
 
 class Listener:
     """A listening socket."""
