Bytes without end from a target neither fill memory nor hold a call

Seen in a test of our own: beside a target that sends a body without a length, a field, a status line or the size of a chunk without end, a daemon had 370 to 980 MB resident; the budget is 128 MB. Callers waited for their route's time although no answer could come.

Cause: such a body was buffered to its end; the parser keeps a token until it is complete, and was not bounded; another request's answer was skipped whole. Ruled out: parts of sized and chunked bodies, which wait for their reader.

Change: of a body without a length 1 MB is held back, the rest is passed on as it arrives and is reset if it is cut. A reader gives up on more bytes than a head may have without an event, on more than 20 interim responses, and on 1 MB of another answer.

--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import math
+from collections import deque
 from collections.abc import Callable
 from typing import Final
 
@@ -62,6 +63,11 @@
 _CONNECT_TIMEOUT_SECONDS: Final = 0.25
 #: Status of a response from another server, at the address that the target had before.
 _MISDIRECTED: Final = 421
+#: Size in bytes up to which a body without a length is buffered, so that one that is cut short is
+#: not forwarded at all; the rest of a longer one is forwarded as it arrives.
+_MAX_UNDELIMITED_BODY: Final = 1024 * 1024
+#: Maximum size in bytes of the body of a response that belongs to another request.
+_MAX_STRAY_BODY: Final = 1024 * 1024
 #: Timeout for the body of a response that refuses a call.
 _REFUSAL_BODY_SECONDS: Final = 0.1
 _ABORTED_REFUSAL: Final = NotRun("the call was given up before it was sent", 0.1)
@@ -97,6 +103,8 @@
         self._sent = False
         self._body_sent = call.is_whole
         self._reusable = False
+        #: Parts of the response body that were read ahead.
+        self._read_parts: deque[BodyPart] = deque()
         self._is_good = False
         self._since = timers.now()
 
@@ -359,8 +367,11 @@
         return bool(echoed) and echoed != self._call.request_id
 
     async def _skip_body(self) -> None:
-        while not isinstance(await self._open().reader.next_part(), End):
-            pass
+        size = 0
+        while isinstance(part := await self._open().reader.next_part(), BodyPart):
+            size += len(part.data)
+            if size > _MAX_STRAY_BODY:
+                raise StreamLostError("an answer to another request does not end")
 
     async def _outcome_of(self, head: ResponseHead) -> Answer | NotRun | OutcomeUnknown:
         """Return the answer, unless it is a refusal or cannot be forwarded."""
@@ -402,8 +413,13 @@
             # If the body ends when the connection closes, only a reset distinguishes a truncated
             # body from a complete one.  It is read to its end here, so that a truncated body is
             # not forwarded at all.
-            body, end = await self._read_whole()
-            is_whole, length = True, len(body)
+            found = await self._read_ahead(max(length, _MAX_UNDELIMITED_BODY))
+            is_whole = found is not None
+            if found is not None:
+                end = found
+                body = b"".join(part.data for part in self._read_parts)
+                length = len(body)
+                self._read_parts.clear()
         return Answer(
             status=head.status,
             fields=render_fields(headers),
@@ -415,13 +431,16 @@
             is_nested_failure=lacks_inner,
         )
 
-    async def _read_whole(self) -> tuple[bytes, End]:
-        parts: list[bytes] = []
-        while True:
-            part = await self.next_part()
+    async def _read_ahead(self, max_size: int) -> End | None:
+        """Read a body into `_read_parts` until its end; return `None` if it is longer than that."""
+        size = 0
+        while size <= max_size:
+            part = await self._receive_part()
             if isinstance(part, End):
-                return b"".join(parts), part
-            parts.append(part.data)
+                return part
+            self._read_parts.append(part)
+            size += len(part.data)
+        return None
 
     async def _finish_refusal(self) -> None:
         """Read the rest of a refusal, so that its connection can be reused.
@@ -431,12 +450,16 @@
         size = 0
         with self._timers.timeout(_REFUSAL_BODY_SECONDS), contextlib.suppress(StreamLostError):
             while size <= LARGEST_WHOLE_BODY:
-                part = await self.next_part()
+                part = await self._receive_part()
                 if isinstance(part, End):
                     return
                 size += len(part.data)
 
     async def next_part(self) -> BodyPart | End:
+        return self._read_parts.popleft() if self._read_parts else await self._receive_part()
+
+    async def _receive_part(self) -> BodyPart | End:
+        """Receive the next part of the response body or its end; the end releases the slot."""
         try:
             part = await self._open().reader.next_part()
         except HttpError as error:
--- a/packages/http1/src/acaciayard_http1/_reader.py
+++ b/packages/http1/src/acaciayard_http1/_reader.py
@@ -24,6 +24,11 @@
 __all__ = ["RequestReader", "ResponseReader"]
 
 _BODILESS_STATUSES: Final = (204, 304)
+#: Bytes of a field besides its name and its value, and of a start line besides the target.
+_FIELD_OVERHEAD: Final = 4
+_START_LINE_OVERHEAD: Final = 128
+#: Maximum number of interim responses before a final one.
+_MAX_INTERIM_RESPONSES: Final = 20
 #: Shared by all messages without trailers, which nearly all messages are.
 _END_WITHOUT_TRAILERS: Final = End()
 
@@ -159,6 +164,10 @@
         self._limits = limits
         self._is_mid_message = False
         self._parse_error: HttpError | None = None
+        #: Bytes fed since the last event, which the parser may have buffered.
+        self._pending_bytes = 0
+        overhead = _START_LINE_OVERHEAD + limits.headers * _FIELD_OVERHEAD
+        self._max_pending_bytes = limits.head_bytes + overhead
 
     @property
     def has_pending(self) -> bool:
@@ -178,6 +187,11 @@
                 self._feed(data)
             except HttpError as error:
                 self._parse_error = error
+            # The parser reports a field, and the size of a chunk, only once it is complete.
+            self._pending_bytes = 0 if events else self._pending_bytes + len(data)
+            if self._pending_bytes > self._max_pending_bytes and self._parse_error is None:
+                limit = self._max_pending_bytes
+                self._parse_error = HttpError(431, f"a head or its like is over {limit} bytes")
         return events.popleft()
 
     def _feed(self, data: bytes) -> None:
@@ -269,11 +283,13 @@
         Raises `StreamLostError` if the target closes first and `HttpError` if the response is
         malformed.
         """
-        while True:
+        for _ in range(_MAX_INTERIM_RESPONSES + 1):
             head: ResponseHead = await self._next_event()
             if head.status >= 200:
                 break
             await self._next_event()
+        else:
+            raise HttpError(502, f"more than {_MAX_INTERIM_RESPONSES} interim responses")
         if to_head_request:
             self._create_parser()
             self._collector.events.append(End())
