Only an answer that has begun is reset; one that is ready is delivered also late

Cause: since the change of deadlines an answer that could not be sent, since an earlier one of its connection had closed it, reset the connection and with it what was still unsent of the earlier one; and a whole answer without a length was cut at the deadline although it was ready. Found by test_pipelined_streams.py (three pipelined requests whose answers close the connection), which fails before and passes now; the example stays.

Change: the deadline and the reset belong to bodies that are still arriving, from their head on.

--- a/packages/calls/src/acaciayard_calls/_answers.py
+++ b/packages/calls/src/acaciayard_calls/_answers.py
@@ -108,45 +108,27 @@
     ) -> None:
         """Relay a target's response; a truncated body resets the caller's connection.
 
-        At the deadline, on the clock of the timer service, the connection is reset whether the
-        target does not send or the caller does not read.  Raises `AnswerCutError` unless the caller
-        has disconnected.
+        A body that is still arriving is cut at the deadline, on the clock of the timer service,
+        whether the target does not send or the caller does not read.  Raises `AnswerCutError`
+        unless the caller has disconnected.
         """
-        if answer.is_whole and not answer.ends_by_close:
+        if answer.is_whole and answer.ends_by_close:
+            await self._relay_until_close(answer)
+        elif answer.is_whole:
             await self.send_whole(head, answer)
-            return
-        expiry = self._timers.call_at(deadline, lambda: self._expire(attempt))
-        try:
-            if answer.is_whole:
-                await self._relay_until_close(answer)
-            else:
-                await self._relay_parts(head, plan, answer, attempt)
-        except BaseException as error:
-            is_caller_gone = self._stream.is_lost and not attempt.abort_reason
-            self._stream.reset()
-            if isinstance(error, StreamLostError) and not is_caller_gone:
-                raise AnswerCutError(attempt.abort_reason or str(error)) from error
-            raise
-        finally:
-            expiry.cancel()
-
-    def _expire(self, attempt: Attempt) -> None:
-        """End a response that is not complete at its deadline."""
-        attempt.abort("the answer was not complete before the deadline")
-        self._stream.reset()
+        else:
+            await self._relay_parts(head, plan, answer, attempt, deadline)
 
     async def _relay_parts(
-        self, head: RequestHead, plan: Plan, answer: Answer, attempt: Attempt
+        self, head: RequestHead, plan: Plan, answer: Answer, attempt: Attempt, deadline: float
     ) -> None:
-        """Relay a response whose body is still arriving."""
         framing = Framing.CHUNKED
         if answer.length != UNKNOWN_LENGTH:
             framing = Framing.SIZED
         elif answer.ends_by_close or head.is_http10:
             framing = Framing.UNTIL_CLOSE
             self._on_closing()
-        self._is_mid_answer = True
-        await self._stream.send(
+        self._stream.send_nowait(
             response_bytes(
                 answer.status,
                 answer.fields,
@@ -155,11 +137,27 @@
                 keep_alive=self._keeps_alive(head),
             )
         )
-        await self._relay_body(plan, attempt, framing)
+        self._is_mid_answer = True
+        expiry = self._timers.call_at(deadline, lambda: self._expire(attempt))
+        try:
+            await self._relay_body(plan, attempt, framing)
+        except BaseException as error:
+            is_caller_gone = self._stream.is_lost and not attempt.abort_reason
+            self._stream.reset()
+            if isinstance(error, StreamLostError) and not is_caller_gone:
+                raise AnswerCutError(attempt.abort_reason or str(error)) from error
+            raise
+        finally:
+            expiry.cancel()
         self._is_mid_answer = False
         if framing is Framing.UNTIL_CLOSE:
             self._stream.close()
 
+    def _expire(self, attempt: Attempt) -> None:
+        """Cut a response that is not complete at its deadline."""
+        attempt.abort("the answer was not complete before the deadline")
+        self._stream.reset()
+
     async def _relay_until_close(self, answer: Answer) -> None:
         """Relay a response that is delimited by the end of the connection, with the same framing.
 
--- a/packages/calls/tests/test_pipelined_streams.py
+++ b/packages/calls/tests/test_pipelined_streams.py
@@ -273,6 +273,7 @@
     @given(streams())
     @example(single_segment(("plain", "safe"), ("plain", "last"), ("plain", "once")))
     @example(single_segment(("plain", "last"), ("plain", "safe"), ("sized", "once")))
+    @example(single_segment(("plain", "last"), ("plain", "last"), ("plain", "last")))
     def test_any_stream_is_served_like_by_a_sequential_server(
         self, request_stream: RequestStream
     ) -> None:
