What others recall of departures survives a start that is killed at once

Cause: a start publishes that it knows the earlier departures only after it has waited for the store. One that was killed before left the others with a record that vouches for nothing, so the next start, with the store out, kept its targets without calls for up to 30 s. Change: a start that was told by a complete record publishes what it was told as complete at once. Measured: the new test of test_departure_store.py fails before, and passes now.

--- a/packages/hosted/src/acaciayard_hosted/_departures.py
+++ b/packages/hosted/src/acaciayard_hosted/_departures.py
@@ -183,7 +183,10 @@
                 born=departure.born,
                 of=past.incarnation,
             )
-        self._is_recalled = self._is_recalled or past.knows_departures
+        if past.knows_departures and not self._is_recalled:
+            # The next process may be told by those that hold the record of this one alone.
+            self._is_recalled = True
+            self._members.table.set_departures(self._targets.departures, is_complete=True)
         if self._timers.now() >= self._started + _STORE_FIRST_SECONDS:
             self._settle_by_recall()
 
--- a/packages/hosted/tests/test_departure_store.py
+++ b/packages/hosted/tests/test_departure_store.py
@@ -238,6 +238,27 @@
 
         self.run_mesh(body)
 
+    def test_what_others_recall_survives_a_start_that_is_killed_at_once(self) -> None:
+        """Guards against targets without calls for as long as the store is out."""
+
+        async def body(mesh: Mesh, tasks: anyio.abc.TaskGroup) -> None:
+            first, other = await self.start(mesh, 1, tasks), await self.start(mesh, 2, tasks)
+            first.announce("t1", 1)
+            first.targets.leave("t1")
+            exchange(first, other)
+            mesh.store.is_down = True
+            exchange(await self.start(mesh, 1, tasks), other)
+            again = await self.start(mesh, 1, tasks)
+            again.announce("t2", 1)
+            exchange(again, other)
+            await mesh.timers.advance(1.0)
+            self.assertTrue(again.admits)
+            again.targets.withdraw("t2", "gone")
+            again.announce("t1", 2)
+            self.assertFalse(again.admits)
+
+        self.run_mesh(body)
+
     def test_start_that_nobody_recalls_admits_calls_once_late_reports_have_come(self) -> None:
         async def body(mesh: Mesh, tasks: anyio.abc.TaskGroup) -> None:
             mesh.store.is_down = True
