Bytes of a target that answer no request are logged and counted

Now event=target what=unrequested_bytes names the target and where they were, and target_unrequested counts them.

--- a/packages/admission/src/acaciayard_admission/__init__.py
+++ b/packages/admission/src/acaciayard_admission/__init__.py
@@ -8,7 +8,7 @@
 from ._starts import DEPARTURE_RETENTION_SECONDS
 from ._suspects import ENDS_TO_BAR, SuspectEvent, Suspects
 from ._target import Announcement, LocalTarget, RunningCall
-from ._target_news import AnnouncementResult, LoggedCall, TargetEvent
+from ._target_news import AnnouncementResult, LoggedCall, TargetEvent, UnrequestedBytes
 from ._targets import ANNOUNCE_INTERVAL_SECONDS, LEASE_SECONDS, LocalTargets
 
 __all__ = [
@@ -34,5 +34,6 @@
     "SuspectEvent",
     "Suspects",
     "TargetEvent",
+    "UnrequestedBytes",
     "retry_after_header",
 ]
--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -44,6 +44,7 @@
 from ._gate import HeldSlot, Reservation
 from ._target import LocalTarget, RunningCall, TargetConnection
 from ._target_answers import fault_in, may_reuse, refused_by_target, stated_idle_timeout
+from ._target_news import UnrequestedBytes
 from ._targets import LocalTargets
 
 __all__ = ["LocalExchange"]
@@ -340,6 +341,7 @@
                 )
                 self._has_response = True
                 if self._is_stray(head):
+                    self._note_stray()
                     await self._skip_body()
                 else:
                     return await self._outcome_of(head)
@@ -366,6 +368,10 @@
         echoed = first_header(head.headers, self._dialect.request_id)
         return bool(echoed) and echoed != self._call.request_id
 
+    def _note_stray(self) -> None:
+        if self._target is not None:
+            self._targets.note_unrequested(self._target, UnrequestedBytes.OTHER_RESPONSE)
+
     async def _skip_body(self) -> None:
         size = 0
         while isinstance(part := await self._open().reader.next_part(), BodyPart):
--- a/packages/admission/src/acaciayard_admission/_target.py
+++ b/packages/admission/src/acaciayard_admission/_target.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from typing import Final
 
 import anyio
@@ -26,6 +27,7 @@
 from ._gate import Gate
 from ._line_shares import GatePolicy
 from ._starts import Start
+from ._target_news import UnrequestedBytes
 
 __all__ = ["DEFAULT_QUEUE", "Announcement", "LocalTarget", "RunningCall", "TargetConnection"]
 
@@ -131,7 +133,9 @@
         timers: TimerService,
         traffic: Traffic,
         policy: GatePolicy,
+        on_unrequested: Callable[[LocalTarget, UnrequestedBytes], None] = lambda _target, _at: None,
     ) -> None:
+        self._on_unrequested = on_unrequested
         self._announcement = announcement
         self._cold_s = announcement.cold_s
         self._traffic = traffic
@@ -261,6 +265,8 @@
         while self._idle:
             idle = self._idle.pop()
             idle_seconds = now - idle.idle_since
+            if idle.stream.has_unread:
+                self._on_unrequested(self, UnrequestedBytes.BEFORE_REQUEST)
             if idle.stream.is_lost or idle.stream.has_unread or idle_seconds > idle.idle_timeout:
                 idle.stream.abort()
                 continue
@@ -297,6 +303,8 @@
         )
         stream = connection.stream
         has_extra_bytes = connection.reader.has_pending or stream.has_unread
+        if has_extra_bytes:
+            self._on_unrequested(self, UnrequestedBytes.BEHIND_RESPONSE)
         if stream.is_lost or has_extra_bytes or len(self._idle) >= limit:
             stream.close()
         else:
--- a/packages/admission/src/acaciayard_admission/_target_news.py
+++ b/packages/admission/src/acaciayard_admission/_target_news.py
@@ -6,7 +6,7 @@
 
 from attrs import frozen
 
-__all__ = ["AnnouncementResult", "LoggedCall", "TargetEvent"]
+__all__ = ["AnnouncementResult", "LoggedCall", "TargetEvent", "UnrequestedBytes"]
 
 
 class AnnouncementResult(Enum):
@@ -30,6 +30,17 @@
     TOO_MANY = "too many targets"
 
 
+class UnrequestedBytes(Enum):
+    """Where bytes of a target were found that answer no request; the values appear in logs."""
+
+    #: Behind a complete response, before its connection was kept.
+    BEHIND_RESPONSE = "behind a response"
+    #: On a kept connection, before a request was sent on it.
+    BEFORE_REQUEST = "before a request"
+    #: In place of the response to a request, with the identity of another one.
+    OTHER_RESPONSE = "response to another request"
+
+
 @frozen
 class LoggedCall:
     """A call as described in logs."""
@@ -51,7 +62,8 @@
     #: Start time of the target in Unix milliseconds; 0 if unknown.
     born: int
     #: Kind of event: `announced`, `leaving`, `withdrawn`, `passed_over`, `ended`, or for what the
-    #: target states in responses `limited`, `unlimited` or `limit_unreadable`.
+    #: target states in responses `limited`, `unlimited` or `limit_unreadable`; `unrequested_bytes`
+    #: if a connection was closed since it held bytes that answer no request.
     what: str
     #: Reason; empty if the kind of event says it all.
     reason: str = ""
--- a/packages/admission/src/acaciayard_admission/_targets.py
+++ b/packages/admission/src/acaciayard_admission/_targets.py
@@ -24,7 +24,7 @@
 from ._starts import Start, StartRecords
 from ._suspects import Suspects
 from ._target import DEFAULT_QUEUE, Announcement, LocalTarget, RunningCall
-from ._target_news import AnnouncementResult, LoggedCall, TargetEvent
+from ._target_news import AnnouncementResult, LoggedCall, TargetEvent, UnrequestedBytes
 
 __all__ = ["ANNOUNCE_INTERVAL_SECONDS", "LEASE_SECONDS", "LocalTargets"]
 
@@ -66,6 +66,7 @@
         self._suspects = suspects or Suspects(timers=timers)
         self._nested_calls = NestedCalls(budgets or RetryBudgets())
         self._ended = 0
+        self._unrequested: Counter[tuple[str]] = Counter()
         self._sent: Counter[tuple[str, str]] = Counter()
         self._is_settled = is_settled
         self._lease = lease
@@ -103,6 +104,11 @@
         """Number of targets whose process has ended while it ran calls."""
         return self._ended
 
+    @property
+    def unrequested(self) -> Counter[tuple[str]]:
+        """Number of connections closed for bytes that answer no request, by where they were."""
+        return self._unrequested
+
     @property
     def sent(self) -> Counter[tuple[str, str]]:
         """Number of calls sent to targets here, as `(attempt, limit)`.
@@ -142,7 +148,11 @@
                 self._emit(announcement, "passed_over", AnnouncementResult.TOO_MANY.value)
                 return AnnouncementResult.TOO_MANY
             target = LocalTarget(
-                announcement, timers=self._timers, traffic=self._traffic, policy=self._policy
+                announcement,
+                timers=self._timers,
+                traffic=self._traffic,
+                policy=self._policy,
+                on_unrequested=self.note_unrequested,
             )
             self._targets[announcement.name] = target
             self._emit(announcement, "announced")
@@ -356,6 +366,12 @@
         if self._targets.get(name) is target:
             self.withdraw(name, "another target answers at its address")
 
+    def note_unrequested(self, target: LocalTarget, place: UnrequestedBytes) -> None:
+        """Record that a target has sent bytes that answer no request."""
+        self._unrequested[(place.value,)] += 1
+        start = target.announcement.start
+        self._on_event(TargetEvent(start.name, start.born, "unrequested_bytes", place.value))
+
     def _emit_end(self, target: LocalTarget) -> None:
         start = target.announcement.start
         at_work = target.at_work
--- a/packages/hosted/src/acaciayard_hosted/_gauges.py
+++ b/packages/hosted/src/acaciayard_hosted/_gauges.py
@@ -182,6 +182,12 @@
             ("attempt", "limit"),
             lambda: of.targets.sent,
         ),
+        Counts(
+            "target_unrequested",
+            "Connections to targets here that held bytes which answer no request, by where",
+            ("where",),
+            lambda: of.targets.unrequested,
+        ),
     )
 
 
