A connection to a target is given up at the first byte that answers no request

Callers got successes under their own id whose body was a part of their own and a part of another answer (MIXED); requests that had run were refused as not run, and ran a second time on another target (TWICE); a failure was told that no target had sent.

Cause: after a byte that belongs to no request, where the next answer begins is a guess, and two readers guessed. A beginning of a head behind a whole answer is no event of the parser, so that its connection counted as clean and the next answer continued that head. And an answer to another request was skipped and the next one looked for behind it, although it may have been broken off with the next one inside it. With both, half a body was followed by the rest of another answer. Evidence: where answers were mixed, the log shows skipped answers; where refusals were invented, it shows no line at all, since the connections were used again unnoticed.

Now the reader of responses feeds the parser the bytes of one response alone and knows exactly whether more was received, a line break included; an answer to another request ends its connection, the call has an unknown outcome; a head in which a status line stands is two heads; a connection that was taken while a body was still to come is looked at again before the request is sent. HEAD responses no longer drop bytes behind their head.

--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -34,6 +34,7 @@
     chunk,
     first_header,
     last_chunk,
+    length_of,
     render_fields,
     request_bytes,
 )
@@ -52,8 +53,6 @@
 #: Retry delay given to a caller if the target is unreachable.
 _ABSENT_RETRY_AFTER_SECONDS: Final = 1.0
 _BODILESS_METHODS: Final = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
-#: Maximum number of responses to other requests that are skipped before the connection is closed.
-_MAX_STRAY_ANSWERS: Final = 3
 #: Seconds without a response after which a kept connection counts as silent, once the call has
 #: ended.
 _SILENCE_SECONDS: Final = 0.5
@@ -67,8 +66,6 @@
 #: Size in bytes up to which a body without a length is buffered, so that one that is cut short is
 #: not forwarded at all; the rest of a longer one is forwarded as it arrives.
 _MAX_UNDELIMITED_BODY: Final = 1024 * 1024
-#: Maximum size in bytes of the body of a response that belongs to another request.
-_MAX_STRAY_BODY: Final = 1024 * 1024
 #: Timeout for the body of a response that refuses a call.
 _REFUSAL_BODY_SECONDS: Final = 0.1
 _ABORTED_REFUSAL: Final = NotRun("the call was given up before it was sent", 0.1)
@@ -151,7 +148,7 @@
 
         If a refusal is returned, nothing has been sent to the target.
         """
-        return await self.enter() or self.send_head()
+        return await self.enter() or await self.send_head()
 
     async def enter(self) -> NotRun | None:
         """Get a slot and a connection without sending; return the refusal if that fails."""
@@ -250,6 +247,18 @@
         reason = f"the target took no connection in {_CONNECT_TIMEOUT_SECONDS:g} s"
         return NotRun(reason, _ABSENT_RETRY_AFTER_SECONDS)
 
+    async def _replace_spoilt_connection(self) -> NotRun | None:
+        """Open another connection if bytes have arrived on the one in use, or if it was closed.
+
+        The call may have waited for its body since it took the connection.
+        """
+        connection, target = self._connection, self._target
+        if connection is None or target is None or not target.is_spoilt(connection):
+            return None
+        self._connection = None
+        target.discard(connection)
+        return await self._connect(target)
+
     async def _wait(self, target: LocalTarget) -> HeldSlot | NotRun:
         """Wait in the queue of the target; `abort` cancels the wait."""
         self._on_queued()
@@ -280,8 +289,11 @@
         has_other_trial = self._target is not None and self._target.has_trial
         return suspects.busy() if has_other_trial else suspicion
 
-    def send_head(self) -> NotRun | None:
+    async def send_head(self) -> NotRun | None:
         """Send the head, and the body if it is complete; return the refusal if it must not run."""
+        refusal = await self._replace_spoilt_connection()
+        if refusal is not None:
+            return refusal
         assert self._connection is not None
         suspicion = self._suspicion()
         if isinstance(suspicion, NotRun):
@@ -335,17 +347,11 @@
 
     async def answer(self) -> Answer | NotRun | OutcomeUnknown:
         try:
-            for _ in range(_MAX_STRAY_ANSWERS + 1):
-                head = await self._open().reader.next_head(
-                    to_head_request=self._call.wants_head_only
-                )
-                self._has_response = True
-                if self._is_stray(head):
-                    self._note_stray()
-                    await self._skip_body()
-                else:
-                    return await self._outcome_of(head)
-            return OutcomeUnknown("the target answered other requests than this one")
+            head = await self._open().reader.next_head(to_head_request=self._call.wants_head_only)
+            self._has_response = True
+            if self._is_stray(head):
+                return self._reject_stray()
+            return await self._outcome_of(head)
         except HttpError as error:
             return OutcomeUnknown(f"the target gave no whole answer: {error}")
         except StreamLostError as error:
@@ -368,16 +374,14 @@
         echoed = first_header(head.headers, self._dialect.request_id)
         return bool(echoed) and echoed != self._call.request_id
 
-    def _note_stray(self) -> None:
+    def _reject_stray(self) -> OutcomeUnknown:
+        """Give up the connection of a response to another request.
+
+        If that response was broken off, the one to this request begins inside it.
+        """
         if self._target is not None:
             self._targets.note_unrequested(self._target, UnrequestedBytes.OTHER_RESPONSE)
-
-    async def _skip_body(self) -> None:
-        size = 0
-        while isinstance(part := await self._open().reader.next_part(), BodyPart):
-            size += len(part.data)
-            if size > _MAX_STRAY_BODY:
-                raise StreamLostError("an answer to another request does not end")
+        return OutcomeUnknown("the target answered another request than this one")
 
     async def _outcome_of(self, head: ResponseHead) -> Answer | NotRun | OutcomeUnknown:
         """Return the answer, unless it is a refusal or cannot be forwarded."""
@@ -411,7 +415,7 @@
         headers = end_to_end(head.headers)
         if self._call.wants_head_only:
             headers += tuple(f for f in head.headers if f[0] == b"content-length")
-        length = _length_of(head)
+        length = length_of(head)
         body = b""
         end = End()
         is_whole = 0 <= length <= LARGEST_WHOLE_BODY
@@ -517,11 +521,3 @@
         if self._slot is not None:
             self._slot.release(is_good=self._is_good)
             self._targets.note_ended(self._call)
-
-
-def _length_of(head: ResponseHead) -> int:
-    if head.framing is Framing.NONE:
-        return 0
-    if head.framing is Framing.SIZED:
-        return next(int(value) for name, value in head.headers if name == b"content-length")
-    return UNKNOWN_LENGTH
--- a/packages/admission/src/acaciayard_admission/_target.py
+++ b/packages/admission/src/acaciayard_admission/_target.py
@@ -265,9 +265,7 @@
         while self._idle:
             idle = self._idle.pop()
             idle_seconds = now - idle.idle_since
-            if idle.stream.has_unread:
-                self._on_unrequested(self, UnrequestedBytes.BEFORE_REQUEST)
-            if idle.stream.is_lost or idle.stream.has_unread or idle_seconds > idle.idle_timeout:
+            if self.is_spoilt(idle) or idle_seconds > idle.idle_timeout:
                 idle.stream.abort()
                 continue
             if idle_seconds <= max_idle_seconds:
@@ -277,6 +275,16 @@
             return None
         return None
 
+    def is_spoilt(self, connection: TargetConnection) -> bool:
+        """Return whether a connection must not carry a request, since it was closed or holds bytes.
+
+        Those bytes answer no request, and the answer to the next one would follow them.
+        """
+        holds_bytes = connection.stream.has_unread or connection.reader.has_pending
+        if holds_bytes:
+            self._on_unrequested(self, UnrequestedBytes.BEFORE_REQUEST)
+        return holds_bytes or connection.stream.is_lost
+
     async def new_connection(self) -> TargetConnection:
         """Open a connection; raises `StreamLostError` if the target is unreachable."""
         address = self._announcement.address
--- a/packages/calls/src/acaciayard_calls/_intake.py
+++ b/packages/calls/src/acaciayard_calls/_intake.py
@@ -23,11 +23,11 @@
     end_to_end,
 )
 from acaciayard_http1 import (
-    Framing,
     HttpError,
     Limits,
     RequestHead,
     first_header,
+    length_of,
     render_fields,
 )
 from acaciayard_routing import Plan, Router
@@ -191,15 +191,6 @@
     return fields
 
 
-def length_of(head: RequestHead) -> int:
-    """Length of a request's body in bytes, `UNKNOWN_LENGTH` if it is chunked."""
-    if head.framing is Framing.NONE:
-        return 0
-    if head.framing is Framing.SIZED:
-        return int(first_header(head.headers, b"content-length"))
-    return UNKNOWN_LENGTH
-
-
 def number_in(head: RequestHead, name: bytes, default: int) -> int:
     """The value of an integer header, or `default`; raises `HttpError` if it is malformed."""
     value = first_header(head.headers, name)
--- a/packages/handover/src/acaciayard_handover/_server.py
+++ b/packages/handover/src/acaciayard_handover/_server.py
@@ -251,7 +251,7 @@
         if refusal is not None:
             await self._refuse(refusal, exchange, messages)
             return
-        refusal = exchange.send_head()
+        refusal = await exchange.send_head()
         if refusal is not None:
             await self._refuse(refusal, exchange, messages)
             return
--- a/packages/http1/src/acaciayard_http1/__init__.py
+++ b/packages/http1/src/acaciayard_http1/__init__.py
@@ -12,6 +12,7 @@
     RequestHead,
     ResponseHead,
     first_header,
+    length_of,
 )
 from ._reader import RequestReader, ResponseReader
 from ._service import HttpReply, HttpService
@@ -48,6 +49,7 @@
     "chunk",
     "first_header",
     "last_chunk",
+    "length_of",
     "render_fields",
     "request_bytes",
     "response_bytes",
--- a/packages/http1/src/acaciayard_http1/_messages.py
+++ b/packages/http1/src/acaciayard_http1/_messages.py
@@ -18,6 +18,7 @@
     "RequestHead",
     "ResponseHead",
     "first_header",
+    "length_of",
 ]
 
 #: Header fields in message order, with lowercase names.
@@ -133,6 +134,17 @@
     trailers: Headers = ()
 
 
+def length_of(head: RequestHead | ResponseHead) -> int:
+    """Return the length of a body in bytes, -1 if its head does not tell it."""
+    match head.framing:
+        case Framing.NONE:
+            return 0
+        case Framing.SIZED:
+            return int(first_header(head.headers, b"content-length"))
+        case _:
+            return -1
+
+
 def first_header(headers: Headers, name: bytes) -> bytes:
     """Return the first value of a header, or an empty string if it is missing.
 
--- a/packages/http1/src/acaciayard_http1/_reader.py
+++ b/packages/http1/src/acaciayard_http1/_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import deque
 from typing import Any, Final, Protocol
 
@@ -19,6 +20,7 @@
     RequestHead,
     ResponseHead,
     first_header,
+    length_of,
 )
 
 __all__ = ["RequestReader", "ResponseReader"]
@@ -29,6 +31,12 @@
 _START_LINE_OVERHEAD: Final = 128
 #: Maximum number of interim responses before a final one.
 _MAX_INTERIM_RESPONSES: Final = 20
+#: Bytes that end a head.
+_HEAD_END: Final = b"\r\n\r\n"
+#: Number of bytes that show whether a chunked body ends with one blank line.
+_TAIL_BYTES: Final = len(_HEAD_END) + 1
+_STATUS_LINE_START: Final = b"HTTP/1."
+_STATUS_LINE: Final = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9](?:$| )")
 #: Shared by all messages without trailers, which nearly all messages are.
 _END_WITHOUT_TRAILERS: Final = End()
 
@@ -137,6 +145,40 @@
 class _ResponseCollector(_Collector):
     parser: httptools.HttpResponseParser
 
+    def __init__(self, limits: Limits) -> None:
+        super().__init__(limits)
+        #: The head that was received last; the reader clears it.
+        self.last_head: ResponseHead | None = None
+        #: Whether the message that was begun last is complete; the reader clears it.
+        self.is_complete = False
+        #: Whether another message was begun after it.
+        self.has_next = False
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self.has_next = self.is_complete
+
+    def on_status(self, reason: bytes) -> None:
+        self._reject_status_line(reason)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._reject_status_line(value)
+        super().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        self.last_head = self.events[-1]
+
+    def on_message_complete(self) -> None:
+        super().on_message_complete()
+        self.is_complete = True
+
+    @staticmethod
+    def _reject_status_line(text: bytes) -> None:
+        """Reject a head that was broken off, with the one of the next response behind it."""
+        if _STATUS_LINE_START in text and _STATUS_LINE.search(text):
+            raise HttpError(502, "the head of one response breaks off in that of another")
+
     def head(self) -> ResponseHead:
         status = self.parser.get_status_code()
         framing = self.framing()
@@ -264,25 +306,49 @@
 
 
 class ResponseReader(_Reader):
-    """Reads consecutive responses from a connection to a target."""
+    """Reads the responses to consecutive requests from a connection to a target.
+
+    Only the bytes of one response are parsed.  Bytes behind it answer no request, so that the place
+    at which the next response begins is unknown: `has_pending` is true then, and the connection
+    must not carry another request.
+    """
 
     def __init__(self, stream: ByteStream, limits: Limits) -> None:
         super().__init__(stream, limits)
         self._create_parser()
+        self._is_head_request = False
+        self._is_reading = False
         self._until_close = False
+        self._has_surplus = False
+        #: Framing of the body that is being received, `None` while a head is.
+        self._body_framing: Framing | None = None
+        #: Bytes of a sized body that have not been received.
+        self._body_left = 0
+        #: The last bytes fed to the parser, in which a head or a chunked body may end.
+        self._tail = b""
 
     def _create_parser(self) -> None:
         collector = _ResponseCollector(self._limits)
         collector.parser = httptools.HttpResponseParser(collector)
-        self._collector = collector
+        self._collector = self._responses = collector
         self._parser = collector.parser
 
+    @property
+    def has_pending(self) -> bool:
+        return self._has_surplus or super().has_pending
+
     async def next_head(self, *, to_head_request: bool = False) -> ResponseHead:
         """Return the head of the next final response; interim (1xx) responses are skipped.
 
         Raises `StreamLostError` if the target closes first and `HttpError` if the response is
-        malformed.
+        malformed or bytes of no response precede it.
         """
+        if self.has_pending:
+            raise HttpError(502, "bytes that belong to no request precede the response")
+        self._is_head_request = to_head_request
+        self._is_reading = True
+        self._body_framing = None
+        self._tail = b""
         for _ in range(_MAX_INTERIM_RESPONSES + 1):
             head: ResponseHead = await self._next_event()
             if head.status >= 200:
@@ -290,10 +356,6 @@
             await self._next_event()
         else:
             raise HttpError(502, f"more than {_MAX_INTERIM_RESPONSES} interim responses")
-        if to_head_request:
-            self._create_parser()
-            self._collector.events.append(End())
-            return ResponseHead(head.status, head.headers, Framing.NONE, head.keep_alive)
         self._until_close = head.framing is Framing.UNTIL_CLOSE
         return head
 
@@ -304,6 +366,74 @@
         """
         return await self._next_event()  # type: ignore[no-any-return]
 
+    def _feed(self, data: bytes) -> None:
+        while data and self._is_reading:
+            match self._body_framing:
+                case None:
+                    data = self._feed_head(data)
+                case Framing.SIZED:
+                    size = min(len(data), self._body_left)
+                    super()._feed(data[:size])
+                    self._body_left -= size
+                    data = data[size:]
+                    self._is_reading = self._body_left > 0
+                case _:
+                    super()._feed(data)
+                    self._note_tail(data)
+                    self._is_reading = not self._responses.is_complete
+                    if not self._is_reading:
+                        self._has_surplus = self._responses.has_next or not self._ends_cleanly()
+                    return
+        self._has_surplus |= bool(data)
+
+    def _feed_head(self, data: bytes) -> bytes:
+        """Feed the rest of a head; return the bytes behind it."""
+        if not self._tail and data[:1] in (b"\r", b"\n"):
+            raise HttpError(502, "a blank line precedes the response")
+        size = self._size_of_head(data)
+        super()._feed(data[:size])
+        self._note_tail(data[:size])
+        head = self._responses.last_head
+        if head is not None:
+            self._begin_body(head)
+        return data[size:]
+
+    def _size_of_head(self, data: bytes) -> int:
+        """Return how many of the bytes received belong to the head."""
+        overlap = len(_HEAD_END) - 1
+        before = self._tail[-overlap:]
+        at = (before + data[:overlap]).find(_HEAD_END)
+        if at >= 0:
+            return at + len(_HEAD_END) - len(before)
+        at = data.find(_HEAD_END)
+        return at + len(_HEAD_END) if at >= 0 else len(data)
+
+    def _note_tail(self, data: bytes) -> None:
+        self._tail = (self._tail + data[-_TAIL_BYTES:])[-_TAIL_BYTES:]
+
+    def _begin_body(self, head: ResponseHead) -> None:
+        self._responses.last_head = None
+        self._responses.is_complete = self._responses.has_next = False
+        self._tail = b""
+        self._body_framing = None
+        if self._is_head_request and head.status >= 200:
+            events = self._responses.events
+            self._create_parser()  # the old one expects the body that the headers describe
+            self._responses.events = events
+            events.pop()
+            bodiless = ResponseHead(head.status, head.headers, Framing.NONE, head.keep_alive)
+            events.extend((bodiless, _END_WITHOUT_TRAILERS))
+            self._is_reading = False
+        elif head.framing is Framing.NONE:
+            self._is_reading = head.status < 200
+        else:
+            self._body_framing = head.framing
+            self._body_left = length_of(head)
+
+    def _ends_cleanly(self) -> bool:
+        """Whether the bytes fed end with one blank line, as a chunked body does, and no more."""
+        return self._tail.endswith(_HEAD_END) and self._tail[:1] not in b"\r\n"
+
     def _on_eof(self) -> End:
         if self._until_close and not self._stream.was_reset:
             self._until_close = False
