The client of the store keeps no connection that holds bytes behind a response

Cause: the same as for connections to targets: a connection was kept if its response allowed it, whatever had been received behind that. The next request got the bytes as its response, or a failure made of them.

Found by looking at every reader for it; not seen with the store. The new test fails on the code before (the second request is not answered as the server did) and passes.

--- a/packages/http1/src/acaciayard_http1/_client.py
+++ b/packages/http1/src/acaciayard_http1/_client.py
@@ -147,7 +147,8 @@
                     parts.append(data)
                 case End():
                     break
-        if head.keep_alive and len(self._idle_connections) < _MAX_IDLE_CONNECTIONS:
+        is_clean = not (connection.reader.has_pending or connection.stream.has_unread)
+        if head.keep_alive and is_clean and len(self._idle_connections) < _MAX_IDLE_CONNECTIONS:
             self._idle_connections.append(
                 _Connection(connection.stream, connection.reader, self._timers.now())
             )
--- a/packages/http1/tests/test_http_client.py
+++ b/packages/http1/tests/test_http_client.py
@@ -23,6 +23,8 @@
         self._opened = 0
         self._silent_up_to = 0
         self._pause = 0.05
+        #: Bytes sent behind each response.
+        self.surplus = b""
 
     @property
     def opened(self) -> int:
@@ -50,7 +52,8 @@
                     if number > self._silent_up_to:
                         body = b"%d" % number
                         await stream.send(
-                            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+                            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s%s"
+                            % (len(body), body, self.surplus)
                         )
             except (anyio.EndOfStream, anyio.BrokenResourceError):
                 return
@@ -104,6 +107,18 @@
 
         self.run_client(body)
 
+    def test_connection_with_bytes_behind_its_response_is_not_kept(self) -> None:
+        """Guards against a response that is taken for that to the next request."""
+
+        async def body(client: HttpClient, server: Server) -> None:
+            server.surplus = b"HTTP/1.1 503 S\r\nDate: "
+            for number in (b"1", b"2"):
+                answer = await self.ask(client)
+                assert isinstance(answer, HttpResponse)
+                self.assertEqual((answer.status, answer.body), (200, number))
+
+        self.run_client(body)
+
     def test_fresh_request_uses_no_kept_connection(self) -> None:
         async def body(client: HttpClient, server: Server) -> None:
             await self.ask(client)
