--- a/packages/handover/src/acaciayard_handover/_pool.py
+++ b/packages/handover/src/acaciayard_handover/_pool.py
@@ -46,7 +46,7 @@
         idle = self._idle.get(address, [])
         while idle:
             _, stream = idle.pop()
-            if not stream.channel.is_lost:
+            if not (stream.channel.is_lost or stream.has_unread):
                 return stream
             stream.channel.abort()
         return None
@@ -63,9 +63,12 @@
         raise StreamLostError(f"{address} did not answer in {self._connect_within:g} s")
 
     def give_back(self, address: Address, stream: MessageStream) -> None:
-        """Return a stream to the pool after its exchange has ended."""
+        """Return a stream to the pool after its exchange has ended.
+
+        A stream that holds further bytes is closed: the next exchange would take them for its own.
+        """
         idle = self._idle.setdefault(address, [])
-        if stream.channel.is_lost or len(idle) >= _MAX_IDLE_PER_HOST:
+        if stream.channel.is_lost or stream.has_unread or len(idle) >= _MAX_IDLE_PER_HOST:
             stream.close()
         else:
             idle.append((self._timers.now(), stream))
--- a/packages/wire/src/acaciayard_wire/_messages.py
+++ b/packages/wire/src/acaciayard_wire/_messages.py
@@ -41,6 +41,11 @@
         """The underlying byte stream."""
         return self._stream
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes beyond the last message were received."""
+        return bool(self._unread) or self._unpacker is not None or self._stream.has_unread
+
     async def send(self, message: object) -> None:
         """Send one message; raises `StreamLostError`."""
         await self._stream.send(self._codec.encode(message))
