An answer without a length that a killed daemon cuts is reset

The daemon now has the kernel reset the connection until it has taken the last byte of such an answer, which also holds at the end of the grace. A length in place of it would claim that the target's answer is complete, which cannot be known.

test_killed_answers fails before (the connection ends in order) and passes.

--- a/packages/calls/src/acaciayard_calls/_answers.py
+++ b/packages/calls/src/acaciayard_calls/_answers.py
@@ -128,6 +128,7 @@
         elif answer.ends_by_close or head.is_http10:
             framing = Framing.UNTIL_CLOSE
             self._on_closing()
+            self._stream.guard_end()
         self._stream.send_nowait(
             response_bytes(
                 answer.status,
@@ -151,7 +152,7 @@
             expiry.cancel()
         self._is_mid_answer = False
         if framing is Framing.UNTIL_CLOSE:
-            self._stream.close()
+            await self._stream.close_in_order()
 
     def _expire(self, attempt: Attempt) -> None:
         """Cut a response that is not complete at its deadline."""
@@ -165,8 +166,9 @@
         """
         self._on_closing()
         head = response_bytes(answer.status, answer.fields, framing=Framing.UNTIL_CLOSE)
+        self._stream.guard_end()
         await self._stream.send(head + answer.body)
-        self._stream.close()
+        await self._stream.close_in_order()
 
     async def _relay_body(self, plan: Plan, attempt: Attempt, framing: Framing) -> None:
         is_chunked = framing is Framing.CHUNKED
--- a/packages/wire/src/acaciayard_wire/_stream.py
+++ b/packages/wire/src/acaciayard_wire/_stream.py
@@ -23,8 +23,10 @@
 _READ_HIGH_WATER: Final = 256 * 1024
 #: Unwritten bytes above which `send` waits.
 _WRITE_HIGH_WATER: Final = 256 * 1024
-#: Value of `SO_LINGER` with which a socket is reset when it is closed.
+#: Values of `SO_LINGER` with which a socket is reset when it is closed, and with which it ends in
+#: order.
 _LINGER_RESET: Final = struct.pack("ii", 1, 0)
+_LINGER_NONE: Final = struct.pack("ii", 0, 0)
 
 
 class StreamLostError(Exception):
@@ -208,6 +210,28 @@
             finally:
                 self._writer = None
 
+    def guard_end(self) -> None:
+        """Have the kernel reset the connection if the process ends before `close_in_order`.
+
+        Otherwise the other end could take a part for the whole where the end of the connection is
+        the end of the data.
+        """
+        self._set_linger(_LINGER_RESET)
+
+    async def close_in_order(self) -> None:
+        """Close once the kernel has taken all data sent; raises `StreamLostError`."""
+        if self._transport is not None:
+            self._transport.set_write_buffer_limits(high=0)
+        await self.send(b"")
+        self._set_linger(_LINGER_NONE)
+        self.close()
+
+    def _set_linger(self, value: bytes) -> None:
+        own = self._transport.get_extra_info("socket") if self._transport is not None else None
+        if own is not None:
+            with contextlib.suppress(OSError):  # the socket is closed already
+                own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def close(self) -> None:
         """Close after the data sent has been written; does nothing if already closed."""
         if self._transport is not None:
@@ -225,10 +249,7 @@
         """Close at once with a reset, so that the other end cannot take the stream for complete."""
         if self._transport is None or self._lost:
             return
-        own = self._transport.get_extra_info("socket")
-        if own is not None:
-            with contextlib.suppress(OSError):  # the socket is closed already
-                own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+        self._set_linger(_LINGER_RESET)
         self._transport.abort()
 
 
