--- a/packages/hosted/src/acaciayard_hosted/_settings.py
+++ b/packages/hosted/src/acaciayard_hosted/_settings.py
@@ -64,6 +64,10 @@
     announce_every: float = 1.0
     #: Bandwidth of the host's link in Mbit/s, 0 if unknown.
     link_mbps: float = 0.0
+    #: Memory that the process may use, in megabytes.
+    memory_mb: float = 300.0
+    #: Descriptors that the process may have open.
+    max_descriptors: int = 4096
     #: Seconds from the stop signal until the process is killed.
     grace: float = 6.0
     #: Limits on retries.
--- a/packages/wire/src/acaciayard_wire/__init__.py
+++ b/packages/wire/src/acaciayard_wire/__init__.py
@@ -3,6 +3,7 @@
 from ._codec import MessageCodec, MessageError
 from ._control import Address, ControlPort, DatagramHandler, StreamHandler
 from ._faults import FaultHandler, raise_fault, trace_of, watch_callbacks
+from ._memory import MemoryShares, memory_shares
 from ._messages import MAX_MESSAGE_BYTES, MessageStream
 from ._stream import ByteStream, Listener, StreamLostError, StreamRefusedError, connect, listen
 from ._traffic import PeerTraffic, Purpose, Traffic, TrafficTotals
@@ -16,6 +17,7 @@
     "DatagramHandler",
     "FaultHandler",
     "Listener",
+    "MemoryShares",
     "MessageCodec",
     "MessageStream",
     "PeerTraffic",
@@ -27,6 +29,7 @@
     "TrafficTotals",
     "connect",
     "listen",
+    "memory_shares",
     "raise_fault",
     "trace_of",
     "watch_callbacks",
