An answer of a target that names no request is not believed

Requests that must not run twice ran on two targets, in a test: a whole refusal without an identity, sent late behind an answer, was taken for the refusal of the next request, which the target was running.

Cause: an answer counted as one to another request only if it named that; without an identity a refusal was believed, and failures were passed on. Now only an answer that names the request is its answer; another has an unknown outcome and ends its connection.

Three stand-ins refused without an identity and were given one; what they assert is unchanged.

--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -368,20 +368,23 @@
         return OutcomeUnknown("the target ended while it ran the call", is_blamed=is_blamed)
 
     def _is_stray(self, head: ResponseHead) -> bool:
-        """Return whether this is a late or duplicate response to an earlier request."""
+        """Return whether the response does not name this request.
+
+        It may be a late or duplicate response to an earlier one.  A refusal that names no request
+        is not believed either: the call would be sent to another target and run twice.
+        """
         if not self._dialect.request_id or not self._call.request_id:
             return False
-        echoed = first_header(head.headers, self._dialect.request_id)
-        return bool(echoed) and echoed != self._call.request_id
+        return first_header(head.headers, self._dialect.request_id) != self._call.request_id
 
     def _reject_stray(self) -> OutcomeUnknown:
-        """Give up the connection of a response to another request.
+        """Give up the connection of a response that does not name this request.
 
         If that response was broken off, the one to this request begins inside it.
         """
         if self._target is not None:
             self._targets.note_unrequested(self._target, UnrequestedBytes.OTHER_RESPONSE)
-        return OutcomeUnknown("the target answered another request than this one")
+        return OutcomeUnknown("the answer of the target does not name this request")
 
     async def _outcome_of(self, head: ResponseHead) -> Answer | NotRun | OutcomeUnknown:
         """Return the answer, unless it is a refusal or cannot be forwarded."""
--- a/packages/admission/src/acaciayard_admission/_target_answers.py
+++ b/packages/admission/src/acaciayard_admission/_target_answers.py
@@ -59,8 +59,6 @@
             return (
                 f"the target answered {head.status} without {dialect.response_signature.decode()}"
             )
-        if dialect.request_id and not first_header(head.headers, dialect.request_id):
-            return f"the target answered {head.status} without saying to which request"
         if first_header(head.headers, b"content-encoding"):
             return "the body of the answer is encoded, though nobody asked for that"
     claims_not_run = dialect.not_run and head.status in _NOT_RUN_STATUSES
--- a/packages/admission/src/acaciayard_admission/_target_news.py
+++ b/packages/admission/src/acaciayard_admission/_target_news.py
@@ -37,7 +37,7 @@
     BEHIND_RESPONSE = "behind a response"
     #: On a kept connection, before a request was sent on it.
     BEFORE_REQUEST = "before a request"
-    #: In place of the response to a request, with the identity of another one.
+    #: In place of the response to a request, with the identity of another one or with none.
     OTHER_RESPONSE = "response to another request"
 
 
--- a/packages/calls/tests/test_call_run.py
+++ b/packages/calls/tests/test_call_run.py
@@ -329,8 +329,8 @@
         self.run_harness([Host("slow", slow)], body)
 
     def test_call_refused_by_a_target_is_offered_to_another(self) -> None:
-        async def refuse(_head: RequestHead, stream: ByteStream) -> None:
-            await stream.send(b"HTTP/1.1 503 S\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n")
+        async def refuse(head: RequestHead, stream: ByteStream) -> None:
+            await stream.send(answer(head, status=503, extra_headers="x-not-run: 1\r\n"))
 
         async def body(_harness: CallHarness, run: RunCall) -> None:
             for _ in range(3):
--- a/packages/calls/tests/test_target_answers.py
+++ b/packages/calls/tests/test_target_answers.py
@@ -70,13 +70,28 @@
         self.run_target(respond, body)
 
     def test_refusal_by_the_target(self) -> None:
-        async def script(_head: RequestHead, stream: ByteStream) -> None:
-            await stream.send(b"HTTP/1.1 503 S\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n")
+        async def script(head: RequestHead, stream: ByteStream) -> None:
+            await stream.send(answer(head, status=503, extra_headers="x-not-run: 1\r\n"))
 
         outcome = self.outcome_of(script, is_idempotent=False)
         assert isinstance(outcome, NotRun)
         self.assertTrue(outcome.is_by_target)
 
+    # Guards against a call that runs twice, as a refusal of another request was taken for its own.
+    def test_answers_that_name_no_request_are_not_believed(self) -> None:
+        for status in (200, 421, 500, 503):
+            for not_run in (b"", b"x-not-run: 1\r\n"):
+
+                async def script(
+                    _head: RequestHead,
+                    stream: ByteStream,
+                    line: bytes = b"HTTP/1.1 %d S\r\nx-seal: 1\r\n%s" % (status, not_run),
+                ) -> None:
+                    await stream.send(line + b"content-length: 0\r\n\r\n")
+
+                with self.subTest(status, not_run=not_run):
+                    self.assertIsInstance(self.outcome_of(script), OutcomeUnknown)
+
     def test_503_without_the_not_run_header_may_have_run(self) -> None:
         async def script(head: RequestHead, stream: ByteStream) -> None:
             await stream.send(answer(head, status=503))
@@ -205,8 +220,8 @@
 
     # Guards against calls that go on to an address at which another target answers.
     def test_target_whose_address_another_one_has_is_withdrawn(self) -> None:
-        async def script(_head: RequestHead, stream: ByteStream) -> None:
-            await stream.send(b"HTTP/1.1 421 S\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n")
+        async def script(head: RequestHead, stream: ByteStream) -> None:
+            await stream.send(answer(head, status=421, extra_headers="x-not-run: 1\r\n"))
 
         async def body(harness: CallHarness, target: ScriptedTarget, send_call: SendCall) -> None:
             for _ in range(2):
