A response to HEAD that has no body in any case is read once

A HEAD request whose answer is empty, 204, 304 or a refusal was answered 504 or not at all, since the reader that parses the bytes of one response alone came in. Found in review.

Cause: for such a response the parser has queued its end behind its head already, and the reader took that end for the head when it replaced both. The table of whole responses had a HEAD with a length only; six more fail on the code before and pass.

--- a/packages/http1/src/acaciayard_http1/_reader.py
+++ b/packages/http1/src/acaciayard_http1/_reader.py
@@ -420,7 +420,8 @@
             events = self._responses.events
             self._create_parser()  # the old one expects the body that the headers describe
             self._responses.events = events
-            events.pop()
+            while events.pop() is not head:
+                pass  # the parser has found the end of a response without a body
             bodiless = ResponseHead(head.status, head.headers, Framing.NONE, head.keep_alive)
             events.extend((bodiless, _END_WITHOUT_TRAILERS))
             self._is_reading = False
--- a/packages/http1/tests/test_http1.py
+++ b/packages/http1/tests/test_http1.py
@@ -214,6 +214,12 @@
     "empty": (EMPTY_RESPONSE, False),
     "behind an interim one": (INTERIM_RESPONSE, False),
     "to HEAD": (OK + b"content-length: 9\r\n\r\n", True),
+    "to HEAD, empty": (EMPTY_RESPONSE, True),
+    "to HEAD, without content": (b"HTTP/1.1 204 No Content\r\n\r\n", True),
+    "to HEAD, chunked": (OK + b"transfer-encoding: chunked\r\n\r\n", True),
+    "to HEAD, not modified": (b"HTTP/1.1 304 Not\r\ncontent-length: 9\r\n\r\n", True),
+    "to HEAD, refused": (b"HTTP/1.1 503 S\r\ncontent-length: 0\r\n\r\n", True),
+    "to HEAD, behind an interim one": (b"HTTP/1.1 102 P\r\n\r\n" + EMPTY_RESPONSE, True),
 }
 #: Bytes behind a response that belong to no request.
 SURPLUS = (b"H", b"HTTP/1.1 2", OK, OK + b"a: b", EMPTY_RESPONSE, b"\r", b"\r\n", b"\n", b"\0")
@@ -226,7 +232,11 @@
 
 
 async def read_body(reader: ResponseReader, *, is_to_head: bool = False) -> bytes:
+    """Read one response; to a request for its head alone it has no body."""
     await reader.next_head(to_head_request=is_to_head)
+    if is_to_head:
+        assert await reader.next_part() == End()
+        return b""
     body = b""
     while isinstance(part := await reader.next_part(), BodyPart):
         body += part.data
