A status line within a head is found however the head arrives

Requests that had run were answered 503 or 500 that no target had sent, where a target sends the beginning of such an answer late, broken off in its reason, and the own answer arrives in pieces.

Cause: the parser hands the reason over in pieces, and a status line that is split over two was in none of them. It is now looked for in the bytes of the head, over the borders of what arrives. This also takes a call for each header field from the reader.

--- a/packages/http1/src/acaciayard_http1/_reader.py
+++ b/packages/http1/src/acaciayard_http1/_reader.py
@@ -33,10 +33,10 @@
 _MAX_INTERIM_RESPONSES: Final = 20
 #: Bytes that end a head.
 _HEAD_END: Final = b"\r\n\r\n"
-#: Number of bytes that show whether a chunked body ends with one blank line.
-_TAIL_BYTES: Final = len(_HEAD_END) + 1
-_STATUS_LINE_START: Final = b"HTTP/1."
-_STATUS_LINE: Final = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9](?:$| )")
+_STATUS_LINE: Final = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9][ \r]")
+#: Number of bytes kept of what was parsed: enough for the beginning of a status line, and to see
+#: whether a chunked body ends with one blank line.
+_TAIL_BYTES: Final = 16
 #: Shared by all messages without trailers, which nearly all messages are.
 _END_WITHOUT_TRAILERS: Final = End()
 
@@ -158,13 +158,6 @@
         super().on_message_begin()
         self.has_next = self.is_complete
 
-    def on_status(self, reason: bytes) -> None:
-        self._reject_status_line(reason)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._reject_status_line(value)
-        super().on_header(name, value)
-
     def on_headers_complete(self) -> None:
         super().on_headers_complete()
         self.last_head = self.events[-1]
@@ -173,12 +166,6 @@
         super().on_message_complete()
         self.is_complete = True
 
-    @staticmethod
-    def _reject_status_line(text: bytes) -> None:
-        """Reject a head that was broken off, with the one of the next response behind it."""
-        if _STATUS_LINE_START in text and _STATUS_LINE.search(text):
-            raise HttpError(502, "the head of one response breaks off in that of another")
-
     def head(self) -> ResponseHead:
         status = self.parser.get_status_code()
         framing = self.framing()
@@ -326,6 +313,8 @@
         self._body_left = 0
         #: The last bytes fed to the parser, in which a head or a chunked body may end.
         self._tail = b""
+        #: Number of bytes of the head that were received.
+        self._head_size = 0
 
     def _create_parser(self) -> None:
         collector = _ResponseCollector(self._limits)
@@ -349,6 +338,7 @@
         self._is_reading = True
         self._body_framing = None
         self._tail = b""
+        self._head_size = 0
         for _ in range(_MAX_INTERIM_RESPONSES + 1):
             head: ResponseHead = await self._next_event()
             if head.status >= 200:
@@ -391,13 +381,21 @@
         if not self._tail and data[:1] in (b"\r", b"\n"):
             raise HttpError(502, "a blank line precedes the response")
         size = self._size_of_head(data)
+        self._reject_second_status_line(data[:size])
         super()._feed(data[:size])
+        self._head_size += size
         self._note_tail(data[:size])
         head = self._responses.last_head
         if head is not None:
             self._begin_body(head)
         return data[size:]
 
+    def _reject_second_status_line(self, data: bytes) -> None:
+        """Reject a head that was broken off, with the one of the next response behind it."""
+        holds_beginning = self._head_size == len(self._tail)
+        if _STATUS_LINE.search(self._tail + data, 1 if holds_beginning else 0):
+            raise HttpError(502, "the head of one response breaks off in that of another")
+
     def _size_of_head(self, data: bytes) -> int:
         """Return how many of the bytes received belong to the head."""
         overlap = len(_HEAD_END) - 1
@@ -415,6 +413,7 @@
         self._responses.last_head = None
         self._responses.is_complete = self._responses.has_next = False
         self._tail = b""
+        self._head_size = 0
         self._body_framing = None
         if self._is_head_request and head.status >= 200:
             events = self._responses.events
@@ -433,7 +432,8 @@
 
     def _ends_cleanly(self) -> bool:
         """Whether the bytes fed end with one blank line, as a chunked body does, and no more."""
-        return self._tail.endswith(_HEAD_END) and self._tail[:1] not in b"\r\n"
+        before = self._tail[-len(_HEAD_END) - 1 : -len(_HEAD_END)]
+        return self._tail.endswith(_HEAD_END) and before not in (b"\r", b"\n")
 
     def _on_eof(self) -> End:
         if self._until_close and not self._stream.was_reset:
--- a/packages/http1/tests/test_http1.py
+++ b/packages/http1/tests/test_http1.py
@@ -283,10 +283,12 @@
         anyio.run(run)
 
     def test_head_in_which_another_response_begins_is_rejected(self) -> None:
-        async def run(data: bytes) -> None:
-            reader = ResponseReader(FakeStream(data), Limits())  # type: ignore[arg-type]
-            await reader.next_head()
+        async def run() -> None:
+            for data in BROKEN_HEADS:
+                for cut in range(len(data)):
+                    stream = FakeStream(*filter(None, (data[:cut], data[cut:])))
+                    reader = ResponseReader(stream, Limits())  # type: ignore[arg-type]
+                    with self.subTest(data, cut=cut), self.assertRaises(HttpError):
+                        await reader.next_head()
 
-        for data in BROKEN_HEADS:
-            with self.subTest(data), self.assertRaises(HttpError):
-                anyio.run(run, data)
+        anyio.run(run)
