A call that was given up, or whose target has left, gets no new connection

A call that waits for its body while its time ends could still be sent to the target, on a connection opened in place of the one that its end had closed; so could one whose target has left meanwhile. Found in review, in a unit trial.

Cause: the check whether a connection is clean, which is new, took one that the end of the call had closed for a spoilt one. The test fails on the code before and passes.

--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -253,8 +253,12 @@
         The call may have waited for its body since it took the connection.
         """
         connection, target = self._connection, self._target
-        if connection is None or target is None or not target.is_spoilt(connection):
+        if self._is_aborted or connection is None or target is None:
             return None
+        if not target.is_spoilt(connection):
+            return None
+        if target.is_withdrawn:
+            return NotRun("the target has left", _ABSENT_RETRY_AFTER_SECONDS)
         self._connection = None
         target.discard(connection)
         return await self._connect(target)
@@ -294,6 +298,8 @@
         refusal = await self._replace_spoilt_connection()
         if refusal is not None:
             return refusal
+        if self._is_aborted:
+            return _ABORTED_REFUSAL
         assert self._connection is not None
         suspicion = self._suspicion()
         if isinstance(suspicion, NotRun):
--- a/packages/admission/src/acaciayard_admission/_target.py
+++ b/packages/admission/src/acaciayard_admission/_target.py
@@ -186,6 +186,11 @@
         """Whether the target runs a suspect."""
         return any(each.suspicion is not None for each in self._at_work)
 
+    @property
+    def is_withdrawn(self) -> bool:
+        """Whether the target is gone from this host, so that no call is sent to it."""
+        return self._is_withdrawn
+
     @property
     def blamed(self) -> frozenset[RunningCall]:
         """The calls that may have caused the end of the target; empty while it lives.
--- a/packages/calls/tests/test_target_answers.py
+++ b/packages/calls/tests/test_target_answers.py
@@ -122,6 +122,32 @@
 
         self.run_target(script, body)
 
+    # Guards against a call that runs although it was given up, and one that reaches a target that
+    # has left, on a connection opened in place of a lost one.
+    def test_call_that_has_ended_is_not_sent(self) -> None:
+        async def body(harness: CallHarness, target: ScriptedTarget, _send: SendCall) -> None:
+            for is_aborted in (True, False):
+                exchange = LocalExchange(
+                    harness.call(is_idempotent=False),
+                    targets=harness.entry.targets,
+                    timers=harness.entry.timers,
+                    dialect=DIALECT,
+                )
+                self.assertIsNone(await exchange.enter())
+                if is_aborted:
+                    exchange.abort()
+                else:
+                    harness.entry.targets.withdraw("target-near", "it left")
+                    connection = exchange._connection
+                    assert connection is not None
+                    connection.stream.abort()
+                await anyio.sleep(0.02)
+                self.assertIsInstance(await exchange.send_head(), NotRun)
+                exchange.close()
+            self.assertEqual(target.request_heads, [])
+
+        self.run_target(respond, body)
+
     def test_malformed_and_truncated_responses(self) -> None:
         async def malformed(_head: RequestHead, stream: ByteStream) -> None:
             await stream.send(b"\x00\x01 no answer\r\n\r\n")
