A request that asks for an upgrade is rejected before it runs

A request with Upgrade and a body was run by a target with an empty body (UNASKED), and answered twice.

Cause: the parser ends such a message at its head, and the head was queued before the error was raised. It is rejected with 501, as it was meant to be, when its head is read. The test fails on the code before (a head is given) and passes.

--- a/packages/http1/src/acaciayard_http1/_reader.py
+++ b/packages/http1/src/acaciayard_http1/_reader.py
@@ -43,6 +43,7 @@
 
 class _Parser(Protocol):
     def feed_data(self, data: bytes) -> None: ...
+    def should_upgrade(self) -> bool: ...
     def should_keep_alive(self) -> bool: ...
 
 
@@ -127,6 +128,8 @@
     parser: httptools.HttpRequestParser
 
     def head(self) -> RequestHead:
+        if self.parser.should_upgrade():
+            raise HttpError(501, "protocol upgrades are not supported")
         headers: Headers = tuple(self._headers)
         framing = self.framing()
         # An expectation has no effect on a request without a body.
--- a/packages/http1/tests/test_http1.py
+++ b/packages/http1/tests/test_http1.py
@@ -105,6 +105,19 @@
 
 
 class RequestTest(unittest.TestCase):
+    # Guards against a request that runs without its body.
+    def test_upgrade_with_a_body_gives_no_head(self) -> None:
+        fields = b"Host: a\r\nConnection: Upgrade\r\nUpgrade: h2c\r\nContent-Length: 4\r\n\r\n"
+
+        async def run() -> None:
+            stream = FakeStream(b"POST / HTTP/1.1\r\n" + fields + b"body")
+            reader = RequestReader(stream, Limits())  # type: ignore[arg-type]
+            with self.assertRaises(HttpError) as caught:
+                await reader.next_head()
+            self.assertEqual(caught.exception.status, 501)
+
+        anyio.run(run)
+
     def test_invalid_requests_are_rejected(self) -> None:
         for name, data, status in REJECTED_REQUESTS:
             with self.subTest(name), self.assertRaises(HttpError) as caught:
