Requests that may not end within the grace are refused before they run

Callers saw: in a planned stop of one sidecar machine, in calm, requests that came late in the grace were taken, run by a server and cut without an answer at its end, unsafe ones among them; an unsafe call that another daemon had handed over was answered 504.

Cause: a shutdown takes requests until 2.5 s before its end, and 0.3 s more, whatever their time limit. The call server lets calls in likewise.

Change: what is left of the grace is a bound of its own (RemainingGrace), and the deadlines given to targets stay. From SIGTERM on a request is taken if its deadline lies within the grace, or if 1.5 times the longest duration of its route in the last 30 to 60 s, and 0.25 s, does; the deadline alone would turn away all short requests of routes with long time limits from the start, which can be served for 3 s more. A route without a recent duration has its deadline alone: nothing can be promised for it, and a refusal may be repeated where a cut may not. Checked after the head, the turn and the body; calls of other daemons on arrival and before the target gets them, by their service. Retry-After is what is left, 0.2 to 1 s. Once the targets here are closed, new requests are answered 503 instead of meeting closed ports, but nested calls of those in progress are taken. The daemon with its own API does the same with its notice_s + grace_s, and closes connections from the notice on.

--- a/packages/admission/src/acaciayard_admission/__init__.py
+++ b/packages/admission/src/acaciayard_admission/__init__.py
@@ -2,6 +2,7 @@
 
 from ._caller_limits import CallerLimiter, retry_after_header
 from ._gate import Gate, HeldSlot, Reservation
+from ._grace import RecentDurations, RemainingGrace
 from ._line_shares import GatePolicy
 from ._local import LocalExchange
 from ._retry_budgets import RetryBudgets, RetryDecision, SharedRetryBudgets
@@ -26,6 +27,8 @@
     "LocalTarget",
     "LocalTargets",
     "LoggedCall",
+    "RecentDurations",
+    "RemainingGrace",
     "Reservation",
     "RetryBudgets",
     "RetryDecision",
--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -82,7 +82,11 @@
         timers: TimerService,
         dialect: Dialect = OWN_DIALECT,
         on_queued: Callable[[], None] = lambda: None,
+        is_forwarded: bool = False,
     ) -> None:
+        #: Whether another daemon forwards the call; otherwise the entry here compares it with the
+        #: grace period.
+        self._is_forwarded = is_forwarded
         self._on_queued = on_queued
         self._call = call
         self._dialect = dialect
@@ -279,6 +283,14 @@
                 self._waiting = None
         return _ABORTED_REFUSAL
 
+    def grace_refusal(self) -> NotRun | None:
+        """Return the refusal of a forwarded call that the end of a shutdown here may cut."""
+        grace = self._targets.grace
+        if not (grace.is_limited and self._is_forwarded):
+            return None
+        longest = self._targets.durations.longest(self._call.service)
+        return grace.refusal_of(self._call.deadline, longest=longest)
+
     def _suspicion(self) -> Suspicion | NotRun | None:
         """Return the suspicion against the call, or the refusal if it must not run now.
 
@@ -306,7 +318,7 @@
             return suspicion
         call = self._call
         # Other retries may have begun while this one waited for its slot.
-        refusal = self._targets.nested_calls.refusal_of(call)
+        refusal = self._targets.nested_calls.refusal_of(call) or self.grace_refusal()
         if refusal is not None:
             return refusal
         dialect = self._dialect
@@ -527,6 +539,9 @@
         if self._is_run_counted:
             self._is_run_counted = False
             self._targets.nested_calls.note_ended(self._call)
+            if self._is_good and self._at_work is not None:
+                duration = self._timers.now() - self._at_work.sent_at
+                self._targets.durations.note(self._call.service, duration)
         if self._slot is not None:
             self._slot.release(is_good=self._is_good)
             self._targets.note_ended(self._call)
--- a/packages/admission/src/acaciayard_admission/_targets.py
+++ b/packages/admission/src/acaciayard_admission/_targets.py
@@ -18,6 +18,7 @@
 from acaciayard_timers import PauseDetector, TimerService
 from acaciayard_wire import Traffic
 
+from ._grace import RecentDurations, RemainingGrace
 from ._line_shares import GatePolicy
 from ._nested_calls import NestedCalls
 from ._retry_budgets import RetryBudgets
@@ -64,6 +65,8 @@
         self._departures: tuple[Departure, ...] = ()
         self._on_event = on_event
         self._suspects = suspects or Suspects(timers=timers)
+        self._grace = RemainingGrace(timers)
+        self._durations = RecentDurations(timers)
         self._nested_calls = NestedCalls(budgets or RetryBudgets())
         self._ended = 0
         self._unrequested: Counter[tuple[str]] = Counter()
@@ -99,6 +102,16 @@
         """The nested calls of the targets on this host."""
         return self._nested_calls
 
+    @property
+    def grace(self) -> RemainingGrace:
+        """The time left for calls in progress during a shutdown."""
+        return self._grace
+
+    @property
+    def durations(self) -> RecentDurations:
+        """Recent durations of calls at the targets here, by service."""
+        return self._durations
+
     @property
     def ended(self) -> int:
         """Number of targets whose process has ended while it ran calls."""
--- a/packages/calls/src/acaciayard_calls/_entry.py
+++ b/packages/calls/src/acaciayard_calls/_entry.py
@@ -157,6 +157,11 @@
         """Keep serving, but close each connection after its requests in progress."""
         self._context.is_stopping = True
 
+    def refuse(self) -> None:
+        """Answer each new request with a refusal, except for nested calls of those in progress."""
+        self._context.is_stopping = True
+        self._context.is_refusing = True
+
     def stop(self) -> None:
         """Accept no more connections, and no more requests on existing ones."""
         self._context.is_stopping = True
--- a/packages/calls/src/acaciayard_calls/_intake.py
+++ b/packages/calls/src/acaciayard_calls/_intake.py
@@ -6,9 +6,9 @@
 from typing import Final
 
 import anyio.abc
-from attrs import define
+from attrs import define, field
 
-from acaciayard_admission import CallerLimiter, LocalTargets
+from acaciayard_admission import CallerLimiter, LocalTargets, RecentDurations
 from acaciayard_callmodel import (
     LARGEST_WHOLE_BODY,
     NO_CAPS,
@@ -43,6 +43,7 @@
 __all__ = [
     "EntryContext",
     "call_of",
+    "deadline_of",
     "is_buffered",
     "number_in",
     "plan_for",
@@ -96,11 +97,19 @@
     router: Router | None = None
     #: Whether connections close after their requests in progress.
     is_stopping: bool = False
+    #: Whether new requests are refused, except for nested calls of those in progress.
+    is_refusing: bool = False
     #: Number of requests served.
     served: int = 0
     #: Runs requests concurrently with earlier ones of their connection; `None` to run them in
     #: sequence.
     tasks: anyio.abc.TaskGroup | None = None
+    #: Recent durations of requests that targets have run, by route.
+    durations: RecentDurations = field(init=False)
+
+    @durations.default
+    def _no_durations(self) -> RecentDurations:
+        return RecentDurations(self.timers)
 
 
 def plan_for(head: RequestHead, context: EntryContext) -> tuple[Router, Plan]:
@@ -148,10 +157,6 @@
 ) -> Call:
     """Create the call of a request; `body` is the complete body if that is buffered."""
     dialect = context.dialect
-    seconds = plan.timeout.total_s
-    caller_timeout = requested_timeout(head, context)
-    if caller_timeout > 0:
-        seconds = min(seconds, caller_timeout)
     is_whole = is_buffered(head, context)
     return Call(
         service=plan.service.name,
@@ -162,7 +167,7 @@
         is_whole=is_whole,
         length=len(body) if is_whole else length_of(head),
         priority=plan.priority,
-        deadline=started + seconds,
+        deadline=deadline_of(head, plan, context, started=started),
         start_by=start_by,
         request_id=first_header(head.headers, dialect.request_id) if dialect.request_id else b"",
         is_idempotent=plan.route.idempotent,
@@ -170,6 +175,15 @@
     )
 
 
+def deadline_of(head: RequestHead, plan: Plan, context: EntryContext, *, started: float) -> float:
+    """When a request must be answered, by its route and its caller."""
+    seconds = plan.timeout.total_s
+    caller_timeout = requested_timeout(head, context)
+    if caller_timeout > 0:
+        seconds = min(seconds, caller_timeout)
+    return started + seconds
+
+
 def requested_timeout(head: RequestHead, context: EntryContext) -> float:
     """Seconds that the caller will wait according to its header, 0 if it sends none."""
     return number_in(head, context.dialect.deadline, 0) / 1000
--- a/packages/calls/src/acaciayard_calls/_request_runs.py
+++ b/packages/calls/src/acaciayard_calls/_request_runs.py
@@ -34,6 +34,7 @@
 from ._answers import AnswerCutError, AnswerWriter
 from ._attempt import Answered, Attempt
 from ._claimer import AlreadyClaimed, Claimed, Claimer, stored_outcome_of
+from ._grace import check_grace
 from ._identity import Identity, counted_of, identity_of
 from ._intake import (
     EntryContext,
@@ -110,6 +111,7 @@
             head, plan, router, dialect=self._context.dialect, targets=self._context.targets
         )
         plan = identity.ranked(plan)
+        check_grace(request, plan, self._context, identity)
         ended.workspace = identity.workspace
         caller = self._caller_of(head).decode("latin-1")
         refusal = self._context.limiter.enter(caller, router.configuration)
@@ -120,11 +122,10 @@
             is_answered = await self._run(request, plan, router, identity)
         finally:
             self._context.limiter.leave(caller)
-            self._context.levels.record(
-                plan.service,
-                seconds=self._timers.now() - request.started,
-                is_answered=is_answered,
-            )
+            seconds = self._timers.now() - request.started
+            self._context.levels.record(plan.service, seconds=seconds, is_answered=is_answered)
+            if is_answered or ended.outcome == "unknown":
+                self._context.durations.note(plan.route.name, seconds)
 
     def _caller_of(self, head: RequestHead) -> bytes:
         name = self._context.dialect.caller
@@ -174,6 +175,7 @@
             if is_body_buffered and request.body_unread
             else b""
         )
+        check_grace(request, plan, self._context, identity)  # the body may have taken long
         targets = self._context.targets
         parent = None
         if identity.may_be_nested:
--- a/packages/daemon/src/acaciayard_daemon/_daemon.py
+++ b/packages/daemon/src/acaciayard_daemon/_daemon.py
@@ -88,10 +88,13 @@
     async def stop(self, force: anyio.Event) -> int:
         """Shut down without cutting calls; returns how many were cut after all.
 
-        First the other daemons hear that the targets here take nothing new, then callers'
-        connections end after their present request, then everything under way gets its time.
+        First the other daemons hear that the targets here take nothing new, while callers'
+        connections end after their present request; then nothing new is taken, and everything under
+        way gets its time.  A call that may be cut by the end of that time is refused.
         """
         shutdown = self.settings.shutdown
+        self.targets.grace.end_by(self.timers.now() + shutdown.notice_s + shutdown.grace_s)
+        self.entry.announce_stop()
         self.targets.stop()
         await self.timers.sleep(shutdown.notice_s)
         self.entry.stop()
--- a/packages/handover/src/acaciayard_handover/_server.py
+++ b/packages/handover/src/acaciayard_handover/_server.py
@@ -164,11 +164,14 @@
             timers=self._timers,
             dialect=self._dialect,
             on_queued=lambda: messages.channel.send_nowait(QUEUED),
+            is_forwarded=True,
         )
         self._running += 1
         try:
             waits_for_body = head.is_held and call.length > LARGEST_INLINE_BODY
-            refusal = None if waits_for_body else exchange.try_enter()
+            refusal = exchange.grace_refusal()
+            if refusal is None and not waits_for_body:
+                refusal = exchange.try_enter()
             if refusal is None:
                 await self._serve_admitted(head, exchange, messages)
             else:
--- a/packages/hosted/src/acaciayard_hosted/_daemon.py
+++ b/packages/hosted/src/acaciayard_hosted/_daemon.py
@@ -134,19 +134,23 @@
         """Shut down gracefully; returns how many calls were cut off.
 
         The platform is told first, and callers are served until it has noticed; then the other
-        daemons learn that the targets here accept no more calls; then the calls in progress end.
+        daemons learn that the targets here accept no more calls; then the calls in progress end,
+        and new ones are refused.  A call that may be cut by the end of the grace period is refused
+        at any time.
         """
         ends = self.timers.now() + self.settings.grace - _RESERVED_FOR_CLOSING
+        self.targets.grace.end_by(ends)
         self.readiness.stop()
         self.entry.announce_stop()
         await self._wait_for_callers_to_leave(ends - _RESERVED_FOR_CALLS)
         self.targets.stop()
         self.members.flush()
         await self.timers.sleep(_DRAIN_NOTICE_SECONDS)
-        self.entry.stop()
+        self.entry.refuse()
         while self._in_progress() and self.timers.now() < ends:
             await self.timers.sleep(_POLL_INTERVAL)
         cut = self._in_progress()
+        self.entry.stop()
         await self.members.leave()
         self.calls.close()
         for service in self.services:
