The bytes of a body that arrive together are one part, however small its chunks

Callers of a daemon got no answer while other clients sent chunked bodies of one byte a chunk: the parser called Python for each chunk, and each became an event that was queued and awaited with a timer of its own.

The chunks that are parsed from one piece of received bytes are now collected in a list by the parser itself, and queued as one part. Limits and errors remain: a body over its limit is rejected where its part would be queued, and before an error behind it.

The tests fail on the code before: 1,000 parts instead of one.

--- a/packages/http1/src/acaciayard_http1/_reader.py
+++ b/packages/http1/src/acaciayard_http1/_reader.py
@@ -4,6 +4,7 @@
 
 import re
 from collections import deque
+from collections.abc import Callable
 from typing import Any, Final, Protocol
 
 import httptools
@@ -56,6 +57,10 @@
     def __init__(self, limits: Limits) -> None:
         self.events: deque[Any] = deque()
         self._limits = limits
+        #: Bytes of the body that are not queued yet.
+        self._parts: list[bytes] = []
+        #: Called for each chunk of a body, which may be a single byte.
+        self.on_body: Callable[[bytes], None] = self._parts.append
         self._reset()
 
     def _reset(self) -> None:
@@ -86,17 +91,24 @@
         self._is_head_complete = True
         self.events.append(self.head())
 
-    def on_body(self, data: bytes) -> None:
-        self._body_bytes += len(data)
-        if self._limits.body_bytes and self._body_bytes > self._limits.body_bytes:
-            raise HttpError(413, f"the body is larger than {self._limits.body_bytes} bytes")
-        self.events.append(BodyPart(bytes(data)))
-
     def on_message_complete(self) -> None:
+        self.queue_body()
         self.events.append(End(tuple(self._trailers)) if self._trailers else _END_WITHOUT_TRAILERS)
 
     # --- used by the readers ------------------------------------------------------------------
 
+    def queue_body(self) -> None:
+        """Queue the bytes of the body received since the last time as one part."""
+        parts = self._parts
+        if not parts:
+            return
+        data = parts[0] if len(parts) == 1 else b"".join(parts)
+        parts.clear()
+        self._body_bytes += len(data)
+        if self._limits.body_bytes and self._body_bytes > self._limits.body_bytes:
+            raise HttpError(413, f"the body is larger than {self._limits.body_bytes} bytes")
+        self.events.append(BodyPart(data))
+
     @property
     def is_mid_head(self) -> bool:
         """Whether a message head has been received in part."""
@@ -227,6 +239,12 @@
         return events.popleft()
 
     def _feed(self, data: bytes) -> None:
+        try:
+            self._parse(data)
+        finally:  # what precedes an error is queued, and exceeds the limits before it
+            self._collector.queue_body()
+
+    def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
--- a/packages/http1/tests/test_http1.py
+++ b/packages/http1/tests/test_http1.py
@@ -166,6 +166,52 @@
         self.assertTrue(head.is_http10)
 
 
+CHUNKED_FIELD = b"Transfer-Encoding: chunked\r\n\r\n"
+ONE_BYTE_CHUNKS = chunk(b"a") * 1_000
+
+
+class OneByteChunksTest(unittest.TestCase):
+    # Guards against work of the consumers for each chunk of a body, however small it is.
+    def test_chunks_received_together_are_one_part(self) -> None:
+        for start, reader_type in (
+            (b"PUT / HTTP/1.1\r\n" + HOST_FIELD, RequestReader),
+            (b"HTTP/1.1 200 OK\r\n", ResponseReader),
+        ):
+
+            async def run(start: bytes, reader_type: type[Any]) -> list[Any]:
+                data = start + CHUNKED_FIELD + ONE_BYTE_CHUNKS
+                reader = reader_type(FakeStream(data, ONE_BYTE_CHUNKS + last_chunk(())), Limits())
+                await reader.next_head()
+                return [await reader.next_part() for _ in range(3)]
+
+            with self.subTest(reader_type=reader_type):
+                parts = [BodyPart(b"a" * 1_000)] * 2
+                self.assertEqual(anyio.run(run, start, reader_type), [*parts, End()])
+
+    def test_errors_behind_small_chunks(self) -> None:
+        for name, end, limit, status, is_part_read in (
+            ("invalid chunk size", b"zz\r\n", 0, 400, True),
+            ("over the limit", chunk(b"a"), 1_000, 413, False),
+            ("over the limit before an invalid size", chunk(b"a") + b"zz\r\n", 1_000, 413, False),
+            ("over the limit at the end", chunk(b"a") + last_chunk(()), 1_000, 413, False),
+        ):
+
+            async def run(end: bytes, limit: int) -> tuple[list[Any], int]:
+                data = b"PUT / HTTP/1.1\r\n" + HOST_FIELD + CHUNKED_FIELD + ONE_BYTE_CHUNKS + end
+                limits = Limits(body_bytes=limit)
+                reader = RequestReader(FakeStream(data), limits)  # type: ignore[arg-type]
+                events: list[Any] = [await reader.next_head()]
+                try:
+                    while True:
+                        events.append(await reader.next_part())
+                except HttpError as error:
+                    return events[1:], error.status
+
+            with self.subTest(name):
+                parts = [BodyPart(b"a" * 1_000)] * is_part_read
+                self.assertEqual(anyio.run(run, end, limit), (parts, status))
+
+
 async def read_response(data: bytes, *, is_head_request: bool = False) -> tuple[Any, bytes]:
     reader = ResponseReader(FakeStream(data), Limits())  # type: ignore[arg-type]
     head = await reader.next_head(to_head_request=is_head_request)
