Entry: the buffers of all callers' connections are bounded together

What callers saw: clients that send and do not wait, or read no answer, can make a daemon hold up to 512 KB received and 256 KB written for each connection, with no bound on the sum; a process that exceeds its memory ends and takes all other callers' requests with it.

Cause: the high-water marks of a stream bound one connection only.

Change: the entry's listener accepts connections that report what they hold once that is over 8 KB (received and not read, written and not sent, pipelined heads and finished answers that wait for their turn). Over a fifth of the process's memory beyond 64 MB, those are reset that have held most for longest without progress, with a log line caller_cut and a counter by reason. One read takes 64 KB at most and reading pauses above 64 KB. Connections between daemons are unchanged. A connection that holds up to 8 KB on either side does no additional work beyond one integer compare and one copy per read.

No run with daemon processes and a crowd of clients was made yet.

test_pipelining sets the buffered bytes of a request through the new method of the pipeline; the condition that it checks is the same.

--- a/packages/callmodel/src/acaciayard_callmodel/_events.py
+++ b/packages/callmodel/src/acaciayard_callmodel/_events.py
@@ -103,6 +103,12 @@
     def offer_ended(self, ended: OfferEnded) -> None:
         """Handle the end of a call that another daemon offered to a target on this host."""
 
+    def caller_cut(self, peer: str, reason: str, held: int, seconds: float) -> None:
+        """Handle a caller's connection that was closed because of a limit.
+
+        `held` are the bytes that it held, `seconds` how long it had made no progress.
+        """
+
     def connection_failed(self, error: Exception) -> None:
         """Handle an unexpected exception that ended one connection.
 
--- a/packages/calls/src/acaciayard_calls/__init__.py
+++ b/packages/calls/src/acaciayard_calls/__init__.py
@@ -7,6 +7,7 @@
 from ._attempt import Answered, Attempt, DispatchContext
 from ._claimer import AlreadyClaimed, AnswerStore, Claimed, Claimer
 from ._claims import ClaimCoordinator, ClaimHolder, ClaimTable
+from ._connection_limits import ConnectionLimits
 from ._dispatcher import Dispatcher
 from ._entry import EntryServer
 from ._levels import WINDOWS, LevelReport, ServiceLevels
@@ -22,6 +23,7 @@
     "ClaimTable",
     "Claimed",
     "Claimer",
+    "ConnectionLimits",
     "DispatchContext",
     "Dispatcher",
     "EntryServer",
--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -38,7 +38,7 @@
         self._context = context
         self._timers = context.timers
         self._reader = RequestReader(stream, context.limits)
-        self._pipeline = RequestPipeline()
+        self._pipeline = RequestPipeline(stream.hold)
         self._is_reading = False
         self._is_closing = False
         self._extra_readers = 0
--- a/packages/calls/src/acaciayard_calls/_entry.py
+++ b/packages/calls/src/acaciayard_calls/_entry.py
@@ -25,10 +25,19 @@
 from acaciayard_resources import Configuration, EntryLimits
 from acaciayard_routing import Router
 from acaciayard_timers import ProcessorPart, TimerService
-from acaciayard_wire import ByteStream, Listener, Purpose, Traffic, listen
+from acaciayard_wire import (
+    ByteStream,
+    ConnectionBuffers,
+    ConnectionReset,
+    Listener,
+    Purpose,
+    Traffic,
+    listen,
+)
 
 from ._caller import CallerConnection
 from ._claimer import Claimer
+from ._connection_limits import ConnectionLimits
 from ._dispatcher import Dispatcher
 from ._first_asked import FirstRequestEstimator
 from ._intake import EntryContext
@@ -66,6 +75,7 @@
         buffers_chunked: bool = False,
         events: CallEvents = NO_EVENTS,
         caps: UsageCaps = NO_CAPS,
+        connection_limits: ConnectionLimits = ConnectionLimits(),  # noqa: B008 (frozen)
     ) -> None:
         self._traffic = traffic
         self._context = EntryContext(
@@ -86,6 +96,9 @@
             caps=caps,
         )
         self._connections: set[CallerConnection] = set()
+        self._buffers = ConnectionBuffers(
+            connection_limits.held_bytes, timers=timers, on_reset=self._note_reset
+        )
         self._listener: Listener | None = None
         #: The router prepared for the next configuration.
         self._prepared: Router | None = None
@@ -101,6 +114,16 @@
         """Number of calls in progress."""
         return sum(connection.running for connection in self._connections)
 
+    @property
+    def connections(self) -> int:
+        """Number of open connections of callers."""
+        return len(self._connections)
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes held by the connections of callers that hold more than a little."""
+        return self._buffers.held
+
     @property
     def served(self) -> int:
         """Number of calls served so far, including refused ones."""
@@ -134,8 +157,12 @@
             traffic=self._traffic,
             purpose=Purpose.CALLS,
             on_stream=lambda stream: tasks.start_soon(self._serve, stream),
+            buffers=self._buffers,
         )
 
+    def _note_reset(self, reset: ConnectionReset) -> None:
+        self._context.events.caller_cut(reset.peer, reset.reason, reset.held, reset.seconds)
+
     async def _serve(self, stream: ByteStream) -> None:
         connection = CallerConnection(stream, self._context)
         self._connections.add(connection)
--- a/packages/calls/src/acaciayard_calls/_request_runs.py
+++ b/packages/calls/src/acaciayard_calls/_request_runs.py
@@ -302,7 +302,7 @@
         answer, attempt = answered.answer, answered.attempt
         try:
             if self._pipeline.first is not request:
-                request.buffered_bytes += len(answer.body)
+                self._pipeline.hold(request, len(answer.body))
                 await self._wait_turn(request, call, attempt)
             if not answer.is_whole and attempt.abort_reason:
                 unknown = OutcomeUnknown(attempt.abort_reason)
--- a/packages/calls/src/acaciayard_calls/_turns.py
+++ b/packages/calls/src/acaciayard_calls/_turns.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import Final
 
 import anyio
@@ -67,13 +68,19 @@
 
 
 class RequestPipeline:
-    """The requests of one connection in progress, in the order in which they were read."""
+    """The requests of one connection in progress, in the order in which they were read.
 
-    def __init__(self) -> None:
+    `on_held` is called with the bytes that are held for the requests behind the first one, each
+    time they have changed.
+    """
+
+    def __init__(self, on_held: Callable[[int], None] = lambda _: None) -> None:
         #: The request that is answered next; `None` if none is in progress.
         self.first: CallerRequest | None = None
         self._requests: deque[CallerRequest] = deque()
         self._emptied: anyio.Event | None = None
+        self._on_held = on_held
+        self._held = 0
 
     def __len__(self) -> int:
         return len(self._requests)
@@ -87,7 +94,7 @@
         last = requests[-1]
         if not last.runs_concurrently or not last.head.keep_alive:
             return False
-        return sum(each.buffered_bytes for each in requests) < MAX_BUFFERED_BYTES
+        return self._held < MAX_BUFFERED_BYTES
 
     @property
     def has_concurrent_request(self) -> bool:
@@ -100,12 +107,21 @@
             self.first = request
         else:
             request.ended.behind = len(self._requests)
-            request.buffered_bytes = _size_of(request.head)
+            self.hold(request, _size_of(request.head))
         self._requests.append(request)
 
+    def hold(self, request: CallerRequest, count: int) -> None:
+        """Note that `count` more bytes are held for a request behind the first one."""
+        request.buffered_bytes += count
+        self._held += count
+        self._on_held(self._held)
+
     def end(self, request: CallerRequest) -> None:
         """Remove a request that has ended, and resume the next one."""
         self._requests.remove(request)
+        if request.buffered_bytes:
+            self._held -= request.buffered_bytes
+            self._on_held(self._held)
         if self._requests:
             self.first = self._requests[0]
             self.first.wake()
--- a/packages/calls/tests/test_pipelining.py
+++ b/packages/calls/tests/test_pipelining.py
@@ -565,7 +565,7 @@
         for _ in range(2):
             pipeline.begin(self.request())
         self.assertTrue(pipeline.may_read_ahead)
-        pipeline.first.buffered_bytes = MAX_BUFFERED_BYTES
+        pipeline.hold(pipeline.first, MAX_BUFFERED_BYTES)
         self.assertFalse(pipeline.may_read_ahead)
 
     def test_large_heads_count_as_buffered_bytes(self) -> None:
--- a/packages/daemon/src/acaciayard_daemon/_build.py
+++ b/packages/daemon/src/acaciayard_daemon/_build.py
@@ -77,6 +77,9 @@
     def connection_failed(self, error: Exception) -> None:
         self._log("connection_failed", error)
 
+    def caller_cut(self, peer: str, reason: str, held: int, seconds: float) -> None:
+        self._logger.info("caller_cut", peer=peer, reason=reason, held=held, seconds=seconds)
+
     def handler_failed(self, error: Exception) -> None:
         """Log an unexpected exception that ended a message for control."""
         self._log("handler_failed", error)
--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -17,7 +17,13 @@
     Suspects,
     TargetEvent,
 )
-from acaciayard_calls import DispatchContext, Dispatcher, EntryServer, ServiceLevels
+from acaciayard_calls import (
+    ConnectionLimits,
+    DispatchContext,
+    Dispatcher,
+    EntryServer,
+    ServiceLevels,
+)
 from acaciayard_handover import (
     RETRY_LOAN_MESSAGES,
     CallServer,
@@ -43,7 +49,7 @@
 from acaciayard_rollouts import ROLLOUT_MESSAGES, RolloutBook, RolloutChange
 from acaciayard_routing import Picker
 from acaciayard_timers import EventLoopTimers, PauseDetector
-from acaciayard_wire import ControlPort, MessageCodec, Traffic, watch_callbacks
+from acaciayard_wire import ControlPort, MessageCodec, Traffic, memory_shares, watch_callbacks
 
 from ._age import ConfigurationAge
 from ._call_log import CallLog
@@ -57,6 +63,7 @@
 from ._follower import StoreFollower
 from ._gauges import (
     GaugeSources,
+    connection_counts,
     daemon_gauges,
     read_counts,
     retry_counts,
@@ -343,7 +350,7 @@
         store.on_change(departures.note_era)
         readiness = Readiness(self._platform.readiness_path, self._versions, log=self._log)
         services = await self._open_services(
-            targets, departures, readiness, dispatcher, members, caps, follower, watch, port
+            targets, departures, readiness, entry, dispatcher, members, caps, follower, watch, port
         )
 
         return HostedDaemon(
@@ -457,6 +464,9 @@
             buffers_chunked=True,
             events=self._calls_log,
             caps=caps.caps,
+            connection_limits=ConnectionLimits(
+                held_bytes=memory_shares(settings.memory_mb).connections
+            ),
         )
         self._versions.on_prepare(entry.prepare)
         self._versions.on_in_force(caps.caps.use)
@@ -469,6 +479,7 @@
         targets: LocalTargets,
         departures: DepartureStore,
         readiness: Readiness,
+        entry: EntryServer,
         dispatcher: Dispatcher,
         members: Membership,
         caps: ConnectedCaps,
@@ -484,6 +495,7 @@
             store=self._store,
             follower=follower,
             watch=watch,
+            entry=entry,
             dispatcher=dispatcher,
             budgets=self._budgets,
             targets=targets,
@@ -503,6 +515,7 @@
             self._calls_log,
             daemon_gauges(sources),
             (
+                *connection_counts(sources),
                 *target_counts(sources),
                 *read_counts(sources),
                 *retry_counts(sources),
--- a/packages/hosted/src/acaciayard_hosted/_call_log.py
+++ b/packages/hosted/src/acaciayard_hosted/_call_log.py
@@ -44,6 +44,7 @@
         self._pending: list[tuple[str, float]] = []
         self._faults = 0
         self._pipelined = 0
+        self._callers_cut: Counter[tuple[str]] = Counter()
 
     @property
     def faults(self) -> int:
@@ -60,6 +61,11 @@
         """Number of requests read before an earlier one of their connection was answered."""
         return self._pipelined
 
+    @property
+    def callers_cut(self) -> Counter[tuple[str]]:
+        """Number of connections of callers closed because of a limit, by reason."""
+        return self._callers_cut
+
     @property
     def ended(self) -> Counter[tuple[str, str, str]]:
         """Number of calls by route, outcome and status."""
@@ -161,6 +167,10 @@
             ms=ended.ms,
         )
 
+    def caller_cut(self, peer: str, reason: str, held: int, seconds: float) -> None:
+        self._callers_cut[(reason,)] += 1
+        self._log.info("caller_cut", peer=peer, reason=reason, held=held, seconds=seconds)
+
     def connection_failed(self, error: Exception) -> None:
         self._note_fault("connection_failed", error)
 
--- a/packages/hosted/src/acaciayard_hosted/_gauges.py
+++ b/packages/hosted/src/acaciayard_hosted/_gauges.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from acaciayard_admission import LocalTargets, RetryBudgets, Suspects
-from acaciayard_calls import Dispatcher
+from acaciayard_calls import Dispatcher, EntryServer
 from acaciayard_handover import StreamPool
 from acaciayard_membership import Membership
 from acaciayard_quotas import MeshCaps
@@ -24,6 +24,7 @@
 
 __all__ = [
     "GaugeSources",
+    "connection_counts",
     "daemon_gauges",
     "read_counts",
     "retry_counts",
@@ -46,6 +47,8 @@
     follower: StoreFollower
     #: Watches whether the store answers the lead.
     watch: StoreWatch
+    #: Connections of callers.
+    entry: EntryServer
     #: Dispatcher of the calls sent from this host.
     dispatcher: Dispatcher
     #: Retry budgets of the services.
@@ -162,6 +165,12 @@
             "Requests so far that were read behind unanswered ones of their connection",
             lambda: of.calls.pipelined,
         ),
+        Gauge("caller_connections", "Open connections of callers", lambda: of.entry.connections),
+        Gauge(
+            "caller_bytes_held",
+            "Bytes held by connections of callers that hold more than 8 KB",
+            lambda: of.entry.held_bytes,
+        ),
         Gauge("faults", "Connections and datagrams ended by a fault", lambda: of.calls.faults),
         Gauge(
             "datagrams_unsent",
@@ -173,6 +182,18 @@
     )
 
 
+def connection_counts(of: GaugeSources) -> tuple[Counts, ...]:
+    """The counters of the connections of callers."""
+    return (
+        Counts(
+            "caller_connections_cut",
+            "Connections of callers closed because of a limit, by reason",
+            ("reason",),
+            lambda: of.calls.callers_cut,
+        ),
+    )
+
+
 def target_counts(of: GaugeSources) -> tuple[Counts, ...]:
     """The counters of what targets here get."""
     return (
--- a/packages/wire/src/acaciayard_wire/__init__.py
+++ b/packages/wire/src/acaciayard_wire/__init__.py
@@ -1,6 +1,7 @@
 """Typed msgpack messages between daemons, over streams and datagrams whose bytes are counted."""
 
 from ._codec import MessageCodec, MessageError
+from ._connection_buffers import ConnectionBuffers, ConnectionReset
 from ._control import Address, ControlPort, DatagramHandler, StreamHandler
 from ._faults import FaultHandler, raise_fault, trace_of, watch_callbacks
 from ._memory import MemoryShares, memory_shares
@@ -13,6 +14,8 @@
     "Address",
     "MessageError",
     "ByteStream",
+    "ConnectionBuffers",
+    "ConnectionReset",
     "ControlPort",
     "DatagramHandler",
     "FaultHandler",
--- a/packages/wire/src/acaciayard_wire/_stream.py
+++ b/packages/wire/src/acaciayard_wire/_stream.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 from typing import Final, cast
 
+from ._connection_buffers import REPORTED_BYTES, ConnectionBuffers
 from ._traffic import Purpose, Traffic
 
 __all__ = ["ByteStream", "Listener", "StreamLostError", "connect", "listen"]
@@ -23,6 +24,9 @@
 _READ_HIGH_WATER: Final = 256 * 1024
 #: Unwritten bytes above which `send` waits.
 _WRITE_HIGH_WATER: Final = 256 * 1024
+#: The same for connections whose buffers are bounded together.
+_BOUNDED_READ_HIGH_WATER: Final = 64 * 1024
+_BOUNDED_WRITE_HIGH_WATER: Final = 16 * 1024
 #: Values of `SO_LINGER` with which a socket is reset when it is closed, and with which it ends in
 #: order.
 _LINGER_RESET: Final = struct.pack("ii", 1, 0)
@@ -37,9 +41,16 @@
     """The host refused the connection, as no process listens on the port."""
 
 
-class ByteStream(asyncio.Protocol):
+class ByteStream(asyncio.BaseProtocol):
     """One connection; at most one task reads and one task writes at a time."""
 
+    #: Unread bytes above which reading from the socket is paused.
+    _read_high_water = _READ_HIGH_WATER
+    #: Unread bytes above which `_note_unread` is called.
+    _noted_unread = _READ_HIGH_WATER
+    #: Unwritten bytes above which `send` waits.
+    _write_high_water = _WRITE_HIGH_WATER
+
     def __init__(
         self,
         *,
@@ -54,6 +65,7 @@
         self._peer_ip = ""
         self._chunks: deque[bytes] = deque()
         self._buffered = 0
+        self._read_paused = False
         self._ended = False
         self._lost = False
         self._was_reset = False
@@ -68,7 +80,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
-        self._transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER)
+        self._transport.set_write_buffer_limits(high=self._write_high_water)
         peername = transport.get_extra_info("peername")
         self._peer_ip = str(peername[0]) if peername else ""
         if self._on_open is not None:
@@ -83,8 +95,8 @@
             return
         self._chunks.append(data)
         self._buffered += len(data)
-        if self._buffered > _READ_HIGH_WATER and self._transport is not None:
-            self._transport.pause_reading()
+        if self._buffered > self._noted_unread:
+            self._note_unread()
         reader = self._reader
         if reader is None:
             if self._on_unread is not None:
@@ -92,6 +104,18 @@
         elif not reader.done():
             reader.set_result(None)
 
+    def _note_unread(self) -> None:
+        """Handle that many bytes are unread."""
+        if self._buffered > self._read_high_water and self._transport is not None:
+            self._transport.pause_reading()
+            self._read_paused = True
+
+    def _note_read(self) -> None:
+        """Handle that many bytes were unread and have been read."""
+        if self._read_paused and self._transport is not None and not self._lost:
+            self._transport.resume_reading()
+        self._read_paused = False
+
     def eof_received(self) -> bool:
         self._ended = True
         self._wake(self._reader)
@@ -183,11 +207,17 @@
     def _pop_chunks(self) -> bytes:
         data = self._chunks.popleft() if len(self._chunks) == 1 else b"".join(self._chunks)
         self._chunks.clear()
-        if self._buffered > _READ_HIGH_WATER and self._transport is not None and not self._lost:
-            self._transport.resume_reading()
-        self._buffered = 0
+        count, self._buffered = self._buffered, 0
+        if count > self._noted_unread:
+            self._note_read()
         return data
 
+    def hold(self, count: int) -> None:
+        """Note that `count` bytes of messages are held for the connection outside of its buffers.
+
+        They are counted only if its buffers are bounded.
+        """
+
     def send_nowait(self, data: bytes) -> None:
         """Write `data` without waiting; raises `StreamLostError`."""
         if self._lost or self._transport is None or self._transport.is_closing():
@@ -253,6 +283,74 @@
         self._transport.abort()
 
 
+class BoundedByteStream(ByteStream, asyncio.BufferedProtocol):
+    """A connection whose buffers are bounded together with those of others."""
+
+    _read_high_water = _BOUNDED_READ_HIGH_WATER
+    _noted_unread = REPORTED_BYTES
+    _write_high_water = _BOUNDED_WRITE_HIGH_WATER
+
+    def __init__(
+        self,
+        *,
+        traffic: Traffic,
+        purpose: Purpose,
+        on_open: Callable[[ByteStream], None],
+        buffers: ConnectionBuffers,
+    ) -> None:
+        super().__init__(traffic=traffic, purpose=purpose, on_open=on_open)
+        self._buffers = buffers
+        self._held_outside = 0
+        self._is_released = False
+
+    @property
+    def held(self) -> int:
+        """Bytes that were received and not read, written and not sent, or held outside."""
+        if self._lost or self._is_released:
+            return 0
+        unsent = self._transport.get_write_buffer_size() if self._transport is not None else 0
+        return self._buffered + unsent + self._held_outside
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the event loop stores the bytes of the next read."""
+        return self._buffers.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the bytes of a read."""
+        self.data_received(bytes(self._buffers.read_buffer[:nbytes]))
+
+    def _note_unread(self) -> None:
+        super()._note_unread()
+        self._buffers.update(self, has_progressed=False)
+
+    def _note_read(self) -> None:
+        super()._note_read()
+        self._buffers.update(self, has_progressed=True)
+
+    def pause_writing(self) -> None:
+        super().pause_writing()
+        self._buffers.update(self, has_progressed=False)
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        self._buffers.update(self, has_progressed=True)
+
+    def hold(self, count: int) -> None:
+        has_shrunk = count < self._held_outside
+        self._held_outside = count
+        self._buffers.update(self, has_progressed=has_shrunk)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        self._buffers.forget(self)
+
+    def reset(self) -> None:
+        super().reset()
+        self._chunks.clear()
+        self._buffered = 0
+        self._is_released = True
+
+
 class Listener:
     """A listening socket."""
 
@@ -276,10 +374,18 @@
     traffic: Traffic,
     purpose: Purpose,
     on_stream: Callable[[ByteStream], None],
+    buffers: ConnectionBuffers | None = None,
 ) -> Listener:
-    """Listen on `address`; `on_stream` is called in the event loop and starts the stream's task."""
+    """Listen on `address`; `on_stream` is called in the event loop and starts the stream's task.
+
+    With `buffers`, the accepted connections are bounded together in what they hold.
+    """
 
     def make_protocol() -> ByteStream:
+        if buffers is not None:
+            return BoundedByteStream(
+                traffic=traffic, purpose=purpose, on_open=on_stream, buffers=buffers
+            )
         return ByteStream(traffic=traffic, purpose=purpose, on_open=on_stream)
 
     server = await asyncio.get_running_loop().create_server(
