The bodies of requests that a process holds have a bound

Callers that sent many large bodies at once made a daemon hold them all, as nothing bounded their sum: each may have 4 MB, from its first byte until its call has ended, retries included.

A budget for the process (BodyBudget, a quarter of the memory that the settings name beyond 64 MB, 8 MB at least) gives room before a part of a body is kept. A body that finds none displaces those that have not grown by 4 KB for 0.3 s, longest first: they are answered 408, not run. Else it is refused at once: 503, not run, with a spread Retry-After, and its connection is closed. An eighth is for bodies up to 64 KB alone. A daemon refuses a call of another one before it asks for its body, so that the call is offered to another host. A large body is sent apart from its head and in parts, so that it is not copied as a whole. The own daemon has a setting for its memory ([limits] memory_mb).

--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -343,7 +343,11 @@
             self._at_work = self._target.begin(call, suspicion)
             self._targets.note_sent(self._target, call)
         with contextlib.suppress(StreamLostError):  # waiting for the answer reports the loss
-            self._connection.stream.send_nowait(data + call.body if call.body else data)
+            if len(call.body) > LARGEST_WHOLE_BODY:
+                self._connection.stream.send_nowait(data)
+                self._connection.stream.send_nowait(call.body)  # without a copy of what is sent
+            else:
+                self._connection.stream.send_nowait(data + call.body if call.body else data)
         return None
 
     async def wait_admitted(self) -> NotRun | None:
--- a/packages/calls/src/acaciayard_calls/_call_run.py
+++ b/packages/calls/src/acaciayard_calls/_call_run.py
@@ -18,6 +18,7 @@
 
 from ._attempt import Answered, Attempt, DispatchContext
 from ._attempt_timer import AttemptTimer, TimedAction, on_overdue
+from ._waits import with_spread_retry
 
 __all__ = ["CallRun", "no_target", "over_retry_budget"]
 
@@ -31,12 +32,6 @@
 _NO_TARGET_RETRY_AFTER_S: Final = 0.2
 #: Retry-After in seconds of a nested call for which the retry budget has no room.
 _OVER_BUDGET_RETRY_AFTER_S: Final = 1.0
-#: Range of the Retry-After of a call that is refused for overload, as a share of the time left to
-#: its deadline.  A short burst is over by then, and the range spreads the retries of calls that are
-#: refused together.  Earlier retries compete with calls that can still meet their latency goal:
-#: from a tenth on, calls within their goal fell from 92 to 91 in 100 with slots missing for one
-#: call in ten.
-_RETRY_AFTER_SHARES: Final = (0.2, 0.33)
 #: Seconds within which a daemon acknowledges a call.  Between failure domains this takes 3 ms, and
 #: somewhat longer if a daemon is busy; waiting longer costs the caller more than a second offer.
 _ACKNOWLEDGE_TIMEOUT_S: Final = 0.06
@@ -120,18 +115,10 @@
             raise
         self._end_retry(was_made=False)
         if isinstance(outcome, NotRun) and outcome.is_overload:
-            return self._with_spread_retry(outcome)
+            remaining = self._call.deadline - self._timers.now()
+            return with_spread_retry(outcome, remaining=remaining, seed=self._parts.seed)
         return outcome
 
-    def _with_spread_retry(self, refusal: NotRun) -> NotRun:
-        """Return the refusal with a random retry delay, so that refused callers retry spread out.
-
-        The delay is at most a third of the time to the deadline.  Callers do not wait longer.
-        """
-        remaining = max(0.0, self._call.deadline - self._timers.now())
-        seconds = remaining * self._parts.seed.uniform(*_RETRY_AFTER_SHARES)
-        return evolve(refusal, retry_after=max(refusal.retry_after, seconds))
-
     async def _run(self) -> Answered | NotRun | OutcomeUnknown:
         last: Answered | NotRun | OutcomeUnknown = no_target(self._plan, self._parts.rollouts)
         while True:
--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -233,6 +233,7 @@
         except RejectedError as rejected:
             request.note("rejected", rejected.status, rejected.refusal.reason)
             request.ended.retry_after = rejected.refusal.retry_after
+            request.ended.is_overload = rejected.refusal.is_overload
             if self._pipeline.first is not request:
                 await self._wait_turn(request)
             await self._answers.send_refusal(request.head, rejected.refusal, rejected.status)
--- a/packages/calls/src/acaciayard_calls/_dispatcher.py
+++ b/packages/calls/src/acaciayard_calls/_dispatcher.py
@@ -8,6 +8,7 @@
 
 from ._attempt import Answered, Attempt, DispatchContext
 from ._call_run import CallRun, no_target, over_retry_budget
+from ._waits import with_spread_retry
 
 __all__ = ["Dispatcher"]
 
@@ -41,6 +42,11 @@
         self._retries += max(0, run.tried - 1)
         return outcome
 
+    def spread_retry(self, refusal: NotRun, deadline: float) -> NotRun:
+        """A refusal for overload with a random retry delay, as `run` returns them."""
+        remaining = deadline - self._timers.now()
+        return with_spread_retry(refusal, remaining=remaining, seed=self._parts.seed)
+
     def _enter_budget(self, call: Call, plan: Plan) -> bool:
         """Count a call for the retry budget of its service.
 
--- a/packages/calls/src/acaciayard_calls/_entry.py
+++ b/packages/calls/src/acaciayard_calls/_entry.py
@@ -26,6 +26,7 @@
 from acaciayard_routing import Router
 from acaciayard_timers import ProcessorPart, TimerService
 from acaciayard_wire import (
+    BodyBudget,
     ByteStream,
     ConnectionBuffers,
     ConnectionReset,
@@ -68,6 +69,7 @@
         targets: LocalTargets,
         timers: TimerService,
         traffic: Traffic,
+        bodies: BodyBudget,
         not_serving: Callable[[], str],
         dialect: Dialect = OWN_DIALECT,
         origin: bytes = b"",
@@ -85,6 +87,7 @@
             levels=levels,
             targets=targets,
             timers=timers,
+            bodies=bodies,
             first_request_estimator=FirstRequestEstimator(timers),
             limits=_CALLER_LIMITS,
             not_serving=not_serving,
--- a/packages/calls/src/acaciayard_calls/_intake.py
+++ b/packages/calls/src/acaciayard_calls/_intake.py
@@ -32,6 +32,7 @@
 )
 from acaciayard_routing import Plan, Router
 from acaciayard_timers import TimerService
+from acaciayard_wire import BodyBudget
 
 from ._claimer import Claimer
 from ._dispatcher import Dispatcher
@@ -73,6 +74,8 @@
     #: Targets on this host, which may make nested calls.
     targets: LocalTargets
     timers: TimerService
+    #: Bounds the bodies that this process holds.
+    bodies: BodyBudget
     #: Estimates when the caller of a call first sent it.
     first_request_estimator: FirstRequestEstimator
     #: Size limits of requests.
--- a/packages/calls/src/acaciayard_calls/_request_runs.py
+++ b/packages/calls/src/acaciayard_calls/_request_runs.py
@@ -29,7 +29,7 @@
     first_header,
 )
 from acaciayard_routing import Plan, Router
-from acaciayard_wire import ByteStream, StreamLostError
+from acaciayard_wire import ByteStream, HeldBody, StreamLostError
 
 from ._answers import AnswerCutError, AnswerWriter
 from ._attempt import Answered, Attempt
@@ -39,6 +39,7 @@
 from ._intake import (
     EntryContext,
     call_of,
+    deadline_of,
     is_buffered,
     number_in,
     plan_for,
@@ -52,6 +53,8 @@
 
 #: Header field of a stored response to an earlier call with the same idempotency key.
 REPLAYED: Final = b"x-replayed: true\r\n"
+#: Refusal of a request for whose body this process has no room, with seconds until a retry.
+_NO_ROOM: Final = NotRun("too many bodies arrive at this daemon", 0.1, is_overload=True)
 
 
 @frozen
@@ -164,18 +167,33 @@
         key = self._key_of(head) if route.key_required or not route.idempotent else b""
         if route.key_required and not key:
             raise RejectedError(400, NotRun("this route needs an Idempotency-Key header", 60.0))
-        claimer = self._context.claimer
-        is_keyed = bool(key) and not route.idempotent and claimer is not None
+        is_keyed = bool(key) and not route.idempotent and self._context.claimer is not None
         is_body_buffered = not request.body_unread or is_buffered(head, self._context)
         if is_keyed and not is_body_buffered:
             reason = f"a call with a key needs a Content-Length up to {LARGEST_WHOLE_BODY}"
             raise RejectedError(413, NotRun(reason, 60.0))
-        body = (
-            await self._read_body(request, plan)
-            if is_body_buffered and request.body_unread
-            else b""
-        )
-        check_grace(request, plan, self._context, identity)  # the body may have taken long
+        if not (is_body_buffered and request.body_unread):
+            return await self._run_with_body(request, plan, router, identity, b"", key, is_keyed)
+        held = self._context.bodies.open()
+        try:
+            body = await self._read_body(request, plan, held)
+            check_grace(request, plan, self._context, identity)  # the body may have taken long
+            return await self._run_with_body(request, plan, router, identity, body, key, is_keyed)
+        finally:
+            held.release()
+
+    async def _run_with_body(
+        self,
+        request: CallerRequest,
+        plan: Plan,
+        router: Router,
+        identity: Identity,
+        body: bytes,
+        key: bytes,
+        is_keyed: bool,
+    ) -> bool:
+        """Run a call whose body was read, unless it is streamed."""
+        head = request.head
         targets = self._context.targets
         parent = None
         if identity.may_be_nested:
@@ -195,6 +213,7 @@
             targets.nested_calls.note_nested(parent, call.service)
         if not call.is_whole:
             return await self._run_streaming(request, call, plan, router)
+        claimer = self._context.claimer
         if is_keyed and claimer is not None:
             return await self._run_keyed(request, call, plan, router, key, claimer)
         return await self._run_buffered(request, call, plan, router)
@@ -211,21 +230,35 @@
             request.ended.age_ms = round((started - first_sent) * 1000, 1)
         return start_by(plan, first_sent)
 
-    async def _read_body(self, request: CallerRequest, plan: Plan) -> bytes:
+    async def _read_body(self, request: CallerRequest, plan: Plan, held: HeldBody) -> bytes:
+        """Read a body completely; raises `HttpError` or `RejectedError` if that is not possible."""
         if request.head.expects_continue:
             await self._stream.send(CONTINUE)
-        parts = []
-        size = 0
+        with anyio.CancelScope() as scope:
+            held.on_dropped = scope.cancel
+            parts = await self._read_parts(request, plan, held)
+            if not held.is_dropped:
+                held.complete()
+                return b"".join(parts)
+        raise HttpError(408, "the body stood still, and its room was needed")
+
+    async def _read_parts(self, request: CallerRequest, plan: Plan, held: HeldBody) -> list[bytes]:
+        parts: list[bytes] = []
+        limit = self._context.max_buffered_body
         while True:
             match await self._next_part(request, plan):
                 case BodyPart(data):
-                    parts.append(data)
-                    size += len(data)
-                    if size > self._context.max_buffered_body:
-                        limit = self._context.max_buffered_body
+                    if held.size + len(data) > limit:
                         raise HttpError(413, f"a body without a length may have {limit} bytes")
+                    if not held.grow(len(data)):
+                        raise RejectedError(503, self._no_room(request, plan))
+                    parts.append(data)
                 case End():
-                    return b"".join(parts)
+                    return parts
+
+    def _no_room(self, request: CallerRequest, plan: Plan) -> NotRun:
+        deadline = deadline_of(request.head, plan, self._context, started=request.started)
+        return self._context.dispatcher.spread_retry(_NO_ROOM, deadline)
 
     async def _next_part(self, request: CallerRequest, plan: Plan) -> BodyPart | End:
         """The next bytes of the request's body."""
--- a/packages/calls/src/acaciayard_calls/_waits.py
+++ b/packages/calls/src/acaciayard_calls/_waits.py
@@ -1,14 +1,17 @@
-"""How long a call may wait for a slot, and what nested calls inherit from their parent."""
+"""How long a call may wait for a slot, what nested calls inherit, and when to retry."""
 
 from __future__ import annotations
 
 import math
+import random
 from typing import Final
 
-from acaciayard_callmodel import Call
+from attrs import evolve
+
+from acaciayard_callmodel import Call, NotRun
 from acaciayard_routing import Plan
 
-__all__ = ["nested", "start_by"]
+__all__ = ["nested", "start_by", "with_spread_retry"]
 
 #: Share of a call's latency goal, counted from the first request of its caller, for which the call
 #: waits for a slot, by priority class.  After longer waits most calls would miss their goal, and
@@ -17,6 +20,13 @@
 #: place of 0.3 for the higher classes lowered it by 0.01 to 0.04.
 _WAIT_SHARES: Final = (0.3, 0.3, 0.25)
 
+#: Range of the Retry-After of a call that is refused for overload, as a share of the time left to
+#: its deadline.  A short burst is over by then, and the range spreads the retries of calls that are
+#: refused together.  Earlier retries compete with calls that can still meet their latency goal:
+#: from a tenth on, calls within their goal fell from 92 to 91 in 100 with slots missing for one
+#: call in ten.
+_RETRY_AFTER_SHARES: Final = (0.2, 0.33)
+
 
 def start_by(plan: Plan, first_sent: float) -> float:
     """Latest useful start of a call; in the past for a retry that cannot meet its latency goal.
@@ -43,3 +53,13 @@
         workspace=parent.workspace,
         depth=parent.depth + 1,
     )
+
+
+def with_spread_retry(refusal: NotRun, *, remaining: float, seed: random.Random) -> NotRun:
+    """The refusal with a random retry delay, so that refused callers retry spread out.
+
+    `remaining` is the time to the deadline in seconds.  The delay is at most a third of it, since
+    callers do not wait longer.
+    """
+    seconds = max(0.0, remaining) * seed.uniform(*_RETRY_AFTER_SHARES)
+    return evolve(refusal, retry_after=max(refusal.retry_after, seconds))
--- a/packages/calls/tests/call_harness.py
+++ b/packages/calls/tests/call_harness.py
@@ -10,7 +10,7 @@
 import anyio.abc
 
 from acaciayard_admission import Announcement, GatePolicy, LocalTargets, RetryBudgets
-from acaciayard_callmodel import Call, Dialect
+from acaciayard_callmodel import LARGEST_WHOLE_BODY, Call, Dialect
 from acaciayard_calls import DispatchContext, Dispatcher
 from acaciayard_handover import CallServer, call_pool
 from acaciayard_http1 import End, Limits, RequestHead, RequestReader
@@ -29,7 +29,15 @@
 )
 from acaciayard_routing import Picker, Router
 from acaciayard_timers import EventLoopTimers, PauseDetector
-from acaciayard_wire import Address, ByteStream, Purpose, StreamLostError, Traffic, listen
+from acaciayard_wire import (
+    Address,
+    BodyBudget,
+    ByteStream,
+    Purpose,
+    StreamLostError,
+    Traffic,
+    listen,
+)
 
 IP = "127.0.0.1"
 DIALECT = Dialect(
@@ -117,11 +125,13 @@
             lease=60.0,
             policy=GatePolicy(lowest_share=1.0, middle_spare=0),
         )
+        self.bodies = BodyBudget(8_000_000, small_body=LARGEST_WHOLE_BODY, timers=self.timers)
         self.server = CallServer(
             targets=self.targets,
             timers=self.timers,
             pause=self.pause,
             traffic=self.traffic,
+            bodies=self.bodies,
             dialect=DIALECT,
         )
 
--- a/packages/calls/tests/test_nested_failures.py
+++ b/packages/calls/tests/test_nested_failures.py
@@ -104,6 +104,7 @@
             targets=near.targets,
             timers=near.timers,
             traffic=near.traffic,
+            bodies=near.bodies,
             not_serving=lambda: "",
             dialect=DIALECT,
         )
--- a/packages/calls/tests/test_pipelined_streams.py
+++ b/packages/calls/tests/test_pipelined_streams.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from acaciayard_admission import CallerLimiter
-from acaciayard_callmodel import Answer, Call, CallWatch
+from acaciayard_callmodel import LARGEST_WHOLE_BODY, Answer, Call, CallWatch
 from acaciayard_calls import Answered, ServiceLevels
 from acaciayard_calls._caller import CallerConnection
 from acaciayard_calls._first_asked import FirstRequestEstimator
@@ -24,7 +24,7 @@
 from acaciayard_resources import Route, Service
 from acaciayard_routing import Plan, Router
 from acaciayard_timers import EventLoopTimers
-from acaciayard_wire import ByteStream, Purpose, Traffic
+from acaciayard_wire import BodyBudget, ByteStream, Purpose, Traffic
 
 ROUTES = router(
     Service(name="a"),
@@ -226,6 +226,7 @@
             levels=ServiceLevels(timers),
             targets=NoTargets(),  # type: ignore[arg-type]
             timers=timers,
+            bodies=BodyBudget(8_000_000, small_body=LARGEST_WHOLE_BODY, timers=timers),
             first_request_estimator=FirstRequestEstimator(timers),
             limits=Limits(),
             not_serving=lambda: "",
--- a/packages/calls/tests/test_pipelining.py
+++ b/packages/calls/tests/test_pipelining.py
@@ -184,6 +184,7 @@
                 targets=host.targets,
                 timers=host.timers,
                 traffic=Traffic(),
+                bodies=host.bodies,
                 not_serving=lambda: "",
                 dialect=DIALECT,
                 events=events,
--- a/packages/calls/tests/test_workspace_keys.py
+++ b/packages/calls/tests/test_workspace_keys.py
@@ -129,6 +129,7 @@
                     targets=host.targets,
                     timers=host.timers,
                     traffic=host.traffic,
+                    bodies=host.bodies,
                     not_serving=lambda: "",
                     dialect=DIALECT.with_changes(has_fractional_retry_after=True),
                     events=events,
--- a/packages/daemon/src/acaciayard_daemon/_build.py
+++ b/packages/daemon/src/acaciayard_daemon/_build.py
@@ -13,7 +13,7 @@
 
 from acaciayard_admission import LocalTargets, RetryBudgets, SuspectEvent, Suspects
 from acaciayard_api import ApiContext, ApiServer, ChangeService, Progress, api_application
-from acaciayard_callmodel import OWN_DIALECT, CallEvents
+from acaciayard_callmodel import LARGEST_WHOLE_BODY, OWN_DIALECT, CallEvents
 from acaciayard_calls import Claimer, DispatchContext, Dispatcher, EntryServer, ServiceLevels
 from acaciayard_handover import CLAIM_MESSAGES, CallServer, StreamPool, call_pool
 from acaciayard_logservice import HttpLogService, http_log_service
@@ -35,10 +35,12 @@
 from acaciayard_timers import EventLoopTimers, PauseDetector
 from acaciayard_wire import (
     Address,
+    BodyBudget,
     ControlPort,
     MessageCodec,
     Purpose,
     Traffic,
+    memory_shares,
     trace_of,
     watch_callbacks,
 )
@@ -117,6 +119,11 @@
         self._seed = random.Random()
         self._log_host = urlsplit(settings.log.url).hostname or "log"
         self._traffic = Traffic()
+        self._bodies = BodyBudget(
+            memory_shares(settings.limits.memory_mb).bodies,
+            small_body=LARGEST_WHOLE_BODY,
+            timers=self._timers,
+        )
         self._invariants = Invariants()
         self._pause = PauseDetector(self._timers, threshold=_PAUSE_THRESHOLD)
         self._spread: Spread | None = None
@@ -196,6 +203,7 @@
             timers=self._timers,
             pause=self._pause,
             traffic=self._traffic,
+            bodies=self._bodies,
             events=self._faults,
         )
         await port.open(settings.ports.control, self._tasks)
@@ -215,6 +223,7 @@
             invariants=self._invariants,
             targets=targets,
             entry=calls.entry,
+            bodies=self._bodies,
             calls=call_server,
             dispatcher=calls.dispatcher,
             claimer=calls.claimer,
@@ -326,6 +335,7 @@
             targets=targets,
             timers=self._timers,
             traffic=self._traffic,
+            bodies=self._bodies,
             not_serving=self._not_serving,
             events=self._faults,
             caps=caps.caps,
--- a/packages/daemon/src/acaciayard_daemon/_status.py
+++ b/packages/daemon/src/acaciayard_daemon/_status.py
@@ -19,7 +19,7 @@
 from acaciayard_resources import Invariants
 from acaciayard_spread import Spread
 from acaciayard_timers import PauseDetector
-from acaciayard_wire import ControlPort, Traffic
+from acaciayard_wire import BodyBudget, ControlPort, Traffic
 
 __all__ = ["StatusSources", "status_view"]
 
@@ -48,6 +48,8 @@
     targets: LocalTargets
     #: Calls from callers.
     entry: EntryServer
+    #: Request bodies that this process holds.
+    bodies: BodyBudget
     #: Calls from other daemons.
     calls: CallServer
     #: Retries.
@@ -108,6 +110,9 @@
         "served": sources.entry.served,
         "running": sources.entry.running,
         "running_for_others": sources.calls.running,
+        "bodies_held_bytes": sources.bodies.held,
+        "bodies_refused": sources.bodies.refused,
+        "bodies_dropped": sources.bodies.dropped,
         "retries": sources.dispatcher.retries,
         "claims": sources.claimer.claims,
         "claim_appends": sources.claimer.appends,
--- a/packages/handover/src/acaciayard_handover/_remote.py
+++ b/packages/handover/src/acaciayard_handover/_remote.py
@@ -47,6 +47,8 @@
 _MAX_ANSWER_MARGIN_SHARE: Final = 0.05
 #: Seconds after which a caller may retry if a daemon is unreachable.
 _UNREACHABLE_RETRY_SECONDS: Final = 1.0
+#: Largest part of a body that is sent in one message, which is copied until the kernel takes it.
+_MAX_PART_BYTES: Final = 256 * 1024
 
 
 class RemoteExchange(Exchange):
@@ -72,6 +74,8 @@
         is_small = len(call.body) <= LARGEST_INLINE_BODY
         self._is_held = call.is_whole and not (call.is_idempotent and is_small)
         self._body_sent = call.is_whole and not self._is_held
+        #: Whether a part of a held body was sent, so that the stream may hold more of it.
+        self._is_body_begun = False
         self._is_acknowledged = False
         self._on_acknowledged: Callable[[], None] | None = None
         self._open_scope: anyio.CancelScope | None = None
@@ -212,8 +216,12 @@
             if not isinstance(message, Ask):
                 self._pending_message = message
                 return False
-            await self.send_part(body[sent : sent + message.size])
-            sent += message.size
+            end = min(len(body), sent + message.size)
+            self._is_body_begun = True
+            while sent < end:
+                size = min(_MAX_PART_BYTES, end - sent)
+                await self.send_part(body[sent : sent + size])
+                sent += size
         return True
 
     async def _receive(self) -> object:
@@ -248,7 +256,7 @@
     def _to_not_run(self, refused: Refused) -> NotRun:
         self._load = refused.load
         self._mean_seconds = refused.mean_seconds
-        self._release(reuse=self._body_sent or self._is_held)
+        self._release(reuse=self._body_sent or (self._is_held and not self._is_body_begun))
         return NotRun(
             refused.reason,
             refused.retry_after,
--- a/packages/handover/src/acaciayard_handover/_server.py
+++ b/packages/handover/src/acaciayard_handover/_server.py
@@ -23,7 +23,9 @@
 from acaciayard_membership import Suspicion
 from acaciayard_timers import PauseDetector, ProcessorPart, TimerService
 from acaciayard_wire import (
+    BodyBudget,
     ByteStream,
+    HeldBody,
     Listener,
     MessageError,
     MessageStream,
@@ -62,6 +64,8 @@
 #: Time after the deadline of a call at which the stream of its response is cut, if the calling
 #: daemon has not read what came before.
 _UNREAD_CUT_SECONDS: Final = 0.1
+#: Refusal of a call for whose body this process has no room, with seconds until a retry.
+_NO_ROOM_REFUSAL: Final = NotRun("the daemon has no room for the body", 0.1, is_overload=True)
 _PAUSED_REFUSAL: Final = Refused("the daemon of the target stood still", 0.1, False, 1.0)
 
 
@@ -75,6 +79,7 @@
         timers: TimerService,
         pause: PauseDetector,
         traffic: Traffic,
+        bodies: BodyBudget,
         dialect: Dialect = OWN_DIALECT,
         events: CallEvents = NO_EVENTS,
         link_mbps: float = 0.0,
@@ -86,6 +91,7 @@
         self._timers = timers
         self._pause = pause
         self._traffic = traffic
+        self._bodies = bodies
         self._resumed_at = float("-inf")
         self._listener: Listener | None = None
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -166,32 +172,43 @@
             on_queued=lambda: messages.channel.send_nowait(QUEUED),
             is_forwarded=True,
         )
+        held = self._bodies.open() if call.length > 0 and (head.is_whole or head.is_held) else None
         self._running += 1
         try:
             waits_for_body = head.is_held and call.length > LARGEST_INLINE_BODY
             refusal = exchange.grace_refusal()
-            if refusal is None and not waits_for_body:
+            if refusal is None and held is not None and not held.reserve(call.length):
+                refusal = _NO_ROOM_REFUSAL
+            elif refusal is None and not waits_for_body:
                 refusal = exchange.try_enter()
             if refusal is None:
-                await self._serve_admitted(head, exchange, messages)
+                await self._serve_admitted(head, exchange, messages, held)
             else:
                 await self._refuse(refusal, exchange, messages)
                 if not (head.is_whole or head.is_held):
                     raise MessageError("the body of a refused call is not read")
         finally:
             exchange.close()
+            if held is not None:
+                held.release()
             self._running -= 1
 
     async def _serve_admitted(
-        self, head: CallHead, exchange: LocalExchange, messages: MessageStream
+        self,
+        head: CallHead,
+        exchange: LocalExchange,
+        messages: MessageStream,
+        held: HeldBody | None,
     ) -> None:
         """Serve a call that has a slot, or may wait for one or for its body."""
         messages.channel.watch_lost(exchange.abort)
         expiry = self._timers.call_at(exchange.call.deadline, exchange.abort)
         try:
             if head.is_held:
-                await self._run_held(exchange, messages)
+                await self._run_held(exchange, messages, held)
             else:
+                if held is not None:
+                    held.complete()
                 await self._run(exchange, messages, is_whole=head.is_whole)
         finally:
             expiry.cancel()
@@ -233,7 +250,9 @@
             tasks.start_soon(self._forward_body, exchange, messages)
             await self._answer(exchange, messages)
 
-    async def _run_held(self, exchange: LocalExchange, messages: MessageStream) -> None:
+    async def _run_held(
+        self, exchange: LocalExchange, messages: MessageStream, held: HeldBody | None
+    ) -> None:
         """Run a call whose body is sent only after admission.
 
         A call with a large body takes a slot only once the body has been received.  Nothing is sent
@@ -246,9 +265,10 @@
             await self._refuse(refusal, exchange, messages)
             return
         messages.channel.send_nowait(ADMITTED)
-        body = await (self._receive_requested_body if is_large else _receive_pushed_body)(
-            exchange, messages
-        )
+        body = await self._receive_body(exchange, messages, held)
+        if body is None:
+            await self._refuse(_NO_ROOM_REFUSAL, exchange, messages)
+            raise MessageError("the rest of a dropped body is not read")
         exchange.hold(body)
         refusal = await exchange.enter() if is_large else None
         if refusal is not None:
@@ -260,8 +280,26 @@
             return
         await self._answer(exchange, messages)
 
+    async def _receive_body(
+        self, exchange: LocalExchange, messages: MessageStream, held: HeldBody | None
+    ) -> bytes | None:
+        """Receive the body of a call; return `None` if it stood still and was dropped."""
+        if held is None:
+            return await _receive_pushed_body(messages)
+        body = None
+        with anyio.CancelScope() as scope:
+            held.on_dropped = scope.cancel
+            if exchange.call.length > LARGEST_INLINE_BODY:
+                body = await self._receive_requested_body(exchange, messages, held)
+            else:
+                body = await _receive_pushed_body(messages)
+        if held.is_dropped:
+            return None
+        held.complete()
+        return body
+
     async def _receive_requested_body(
-        self, exchange: LocalExchange, messages: MessageStream
+        self, exchange: LocalExchange, messages: MessageStream, held: HeldBody
     ) -> bytes:
         """Receive a large body in requested chunks, within the window of the host's link."""
         transfer = self._window.open(exchange.call.length)
@@ -276,8 +314,11 @@
             while True:
                 while size := transfer.try_request():
                     messages.channel.send_nowait(CALL_CODEC.encode(Ask(size)))
-                if not transfer.in_flight and (size := await transfer.request()):
-                    messages.channel.send_nowait(CALL_CODEC.encode(Ask(size)))
+                if not transfer.in_flight and transfer.remaining:
+                    held.complete()  # it waits for other bodies, and not for its sender
+                    if size := await transfer.request():
+                        messages.channel.send_nowait(CALL_CODEC.encode(Ask(size)))
+                    held.expect()
                 message = None
                 with self._timers.timeout(_STALL_TIMEOUT_SECONDS):
                     message = await messages.receive()
@@ -286,6 +327,7 @@
                         transfer.record_received(transfer.in_flight)  # the data may still arrive
                     case Part(data):
                         transfer.record_received(len(data))
+                        held.note_received(len(data))
                         parts.append(data)
                     case Finish():
                         return b"".join(parts)
@@ -390,7 +432,7 @@
                     return ""
 
 
-async def _receive_pushed_body(_exchange: LocalExchange, messages: MessageStream) -> bytes:
+async def _receive_pushed_body(messages: MessageStream) -> bytes:
     """Receive a body that is sent without requests."""
     parts = []
     while not isinstance(message := await messages.receive(), Finish):
--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -17,6 +17,7 @@
     Suspects,
     TargetEvent,
 )
+from acaciayard_callmodel import LARGEST_WHOLE_BODY
 from acaciayard_calls import (
     ConnectionLimits,
     DispatchContext,
@@ -49,7 +50,14 @@
 from acaciayard_rollouts import ROLLOUT_MESSAGES, RolloutBook, RolloutChange
 from acaciayard_routing import Picker
 from acaciayard_timers import EventLoopTimers, PauseDetector
-from acaciayard_wire import ControlPort, MessageCodec, Traffic, memory_shares, watch_callbacks
+from acaciayard_wire import (
+    BodyBudget,
+    ControlPort,
+    MessageCodec,
+    Traffic,
+    memory_shares,
+    watch_callbacks,
+)
 
 from ._age import ConfigurationAge
 from ._call_log import CallLog
@@ -144,6 +152,11 @@
         self._tasks = tasks
         self._random = random.Random()
         self._traffic = Traffic()
+        self._bodies = BodyBudget(
+            memory_shares(settings.memory_mb).bodies,
+            small_body=LARGEST_WHOLE_BODY,
+            timers=timers,
+        )
         self._invariants = Invariants()
         self._pause = PauseDetector(timers, threshold=_PAUSE_SECONDS)
         self._versions = AcceptedVersions(
@@ -255,6 +268,7 @@
             timers=self._timers,
             pause=self._pause,
             traffic=self._traffic,
+            bodies=self._bodies,
             dialect=self._platform.dialect,
             events=self._calls_log,
             link_mbps=settings.link_mbps,
@@ -457,6 +471,7 @@
             targets=targets,
             timers=self._timers,
             traffic=self._traffic,
+            bodies=self._bodies,
             not_serving=lambda: "",
             dialect=self._platform.dialect,
             origin=settings.service.encode(),
@@ -507,6 +522,7 @@
             pause=self._pause,
             port=port,
             traffic=self._traffic,
+            bodies=self._bodies,
             timers=self._timers,
             pool=self._pool,
             caps=caps.caps,
--- a/packages/hosted/src/acaciayard_hosted/_gauges.py
+++ b/packages/hosted/src/acaciayard_hosted/_gauges.py
@@ -11,7 +11,7 @@
 from acaciayard_quotas import MeshCaps
 from acaciayard_rollouts import RolloutBook
 from acaciayard_timers import EventLoopTimers, PauseDetector
-from acaciayard_wire import ControlPort, Traffic
+from acaciayard_wire import BodyBudget, ControlPort, Traffic
 
 from ._call_log import CallLog
 from ._departures import DepartureStore
@@ -71,6 +71,8 @@
     port: ControlPort
     #: Traffic in bytes, by purpose.
     traffic: Traffic
+    #: Request bodies that this process holds.
+    bodies: BodyBudget
     #: Timers.
     timers: EventLoopTimers
     #: Streams to other daemons.
@@ -177,6 +179,17 @@
             "Datagrams so far that could not be sent to another daemon",
             lambda: of.port.unsent,
         ),
+        Gauge("bodies_held_bytes", "Bytes of bodies held for calls now", lambda: of.bodies.held),
+        Gauge(
+            "bodies_refused",
+            "Bodies so far for which there was no room",
+            lambda: of.bodies.refused,
+        ),
+        Gauge(
+            "bodies_dropped",
+            "Bodies so far that stood still and were dropped for others",
+            lambda: of.bodies.dropped,
+        ),
         Gauge("pauses", "Pauses of the process so far", lambda: of.pause.pauses),
         Gauge("control_bytes", "Bytes for control so far", of.traffic.control_bytes),
     )
--- a/packages/settings/src/acaciayard_settings/_settings.py
+++ b/packages/settings/src/acaciayard_settings/_settings.py
@@ -46,6 +46,7 @@
     "DetectorSection",
     "HostSection",
     "HostSettings",
+    "LimitsSection",
     "LogSection",
     "MeshSection",
     "PortsSection",
@@ -130,6 +131,15 @@
     look_s: float = checked(Number(0.05, 600), default=2.0)
 
 
+@frozen
+class LimitsSection:
+    """`[limits]`: what the process may use."""
+
+    #: Memory that the process may use, in megabytes; it bounds the request bodies that the process
+    #: holds.
+    memory_mb: float = checked(Number(64, 1_048_576), default=300.0)
+
+
 @frozen
 class ShutdownSection:
     """`[shutdown]`: timing of a graceful shutdown."""
@@ -157,6 +167,8 @@
     detector: DetectorSection = field(factory=DetectorSection)
     #: When snapshots are written.
     snapshots: SnapshotsSection = field(factory=SnapshotsSection)
+    #: What the process may use.
+    limits: LimitsSection = field(factory=LimitsSection)
     #: Timing of a graceful shutdown.
     shutdown: ShutdownSection = field(factory=ShutdownSection)
 
@@ -168,6 +180,7 @@
     "mesh": MeshSection,
     "detector": DetectorSection,
     "snapshots": SnapshotsSection,
+    "limits": LimitsSection,
     "shutdown": ShutdownSection,
 }
 _REQUIRED_SECTIONS: Final = ("host", "log")
--- a/packages/wire/src/acaciayard_wire/__init__.py
+++ b/packages/wire/src/acaciayard_wire/__init__.py
@@ -1,5 +1,6 @@
 """Typed msgpack messages between daemons, over streams and datagrams whose bytes are counted."""
 
+from ._body_budget import BodyBudget, HeldBody
 from ._codec import MessageCodec, MessageError
 from ._connection_buffers import ConnectionBuffers, ConnectionReset
 from ._control import Address, ControlPort, DatagramHandler, StreamHandler
@@ -13,12 +14,14 @@
     "MAX_MESSAGE_BYTES",
     "Address",
     "MessageError",
+    "BodyBudget",
     "ByteStream",
     "ConnectionBuffers",
     "ConnectionReset",
     "ControlPort",
     "DatagramHandler",
     "FaultHandler",
+    "HeldBody",
     "Listener",
     "MemoryShares",
     "MessageCodec",
