Messages are unpacked only once they are complete

Callers saw nothing so far; memory of a daemon grew with each message between daemons that came in pieces or was cut, and five bytes at the control port that claim an array of 64 M items took 537 MB of address space for good and made each full garbage collection 0.2 s longer.

Cause: msgpack 1.1.0 never frees the nested values of a message that stays incomplete, and allocates arrays by the length that they claim. Every first piece of a longer message was tried with unpackb.

Change: MessageScanner finds the end of a message without building values; only complete messages are unpacked.

test_no_unpacker_is_kept_between_messages checked a private attribute that is gone; it checks the scanner and the pieces instead.

--- a/packages/wire/src/acaciayard_wire/_codec.py
+++ b/packages/wire/src/acaciayard_wire/_codec.py
@@ -11,6 +11,8 @@
 import msgpack
 from attrs import frozen
 
+from ._scanner import MessageScanner
+
 if typing.TYPE_CHECKING:
     import cattrs
 
@@ -59,6 +61,7 @@
         self._codes = {cls: code for code, cls in classes.items()}
         self._schemas = {cls: schema for cls in classes.values() if (schema := _plain_schema(cls))}
         self._packer = msgpack.Packer()
+        self._scanner = MessageScanner()
         self._cached_converter: cattrs.Converter | None = None
 
     @property
@@ -88,12 +91,35 @@
 
     def decode(self, packed: bytes) -> object:
         """Decode one message; raises `MessageError` if it is invalid."""
+        if self.scan(packed) != 0:
+            raise MessageError("not msgpack: not one complete value")
+        return self.decode_complete(packed)
+
+    def decode_complete(self, packed: bytes) -> object:
+        """Decode one message that is known to be complete; raises `MessageError`."""
         try:
             parts = msgpack.unpackb(packed)
         except (ValueError, msgpack.exceptions.UnpackException) as error:
             raise MessageError(f"not msgpack: {error}") from error
         return self.structure(parts)
 
+    def scan(self, data: bytes) -> int | MessageScanner:
+        """Return how many bytes follow the first message in `data`.
+
+        If it is incomplete, return the scanner that goes on with the rest.  Raises `MessageError`
+        for bytes that are no message.
+        """
+        scanner = self._scanner
+        try:
+            rest = scanner.feed(data)
+        except ValueError as error:
+            self._scanner = MessageScanner()
+            raise MessageError(f"not msgpack: {error}") from error
+        if rest is None:
+            self._scanner = MessageScanner()
+            return scanner
+        return rest
+
     def structure(self, parts: Any) -> object:
         """Build a message from its unpacked array; raises `MessageError` if it is invalid."""
         if not isinstance(parts, list) or not parts:
--- a/packages/wire/src/acaciayard_wire/_messages.py
+++ b/packages/wire/src/acaciayard_wire/_messages.py
@@ -2,25 +2,19 @@
 
 from __future__ import annotations
 
-from typing import Any, Final
-
-import msgpack
-
 from ._codec import MessageCodec, MessageError
+from ._scanner import MAX_MESSAGE_BYTES, MessageScanner
 from ._stream import ByteStream, StreamLostError
 
 __all__ = ["MAX_MESSAGE_BYTES", "MessageStream"]
 
-#: The largest message a peer may send, in bytes.
-MAX_MESSAGE_BYTES: Final = 64 * 1024 * 1024
-
 
 class MessageStream:
     """Sends and receives messages of one codec over one connection.
 
-    Most messages arrive in one piece and are decoded without a buffer.  An incremental unpacker,
-    which takes 44 KB, exists only while a message is incomplete: a daemon under load has 200
-    streams to other daemons, and nearly all of them are idle.
+    Most messages arrive in one piece and are decoded as they are.  Pieces are collected, with a
+    scanner of 44 KB, only while a message is incomplete: a daemon under load has 200 streams to
+    other daemons, and nearly all of them are idle.
 
     Example:
 
@@ -33,8 +27,9 @@
         self._stream = stream
         self._codec = codec
         self._unread = b""
-        self._unpacker: msgpack.Unpacker | None = None
-        self._fed_bytes = 0
+        #: The pieces of a message that is incomplete, and what has scanned them.
+        self._pieces: list[bytes] = []
+        self._scanner: MessageScanner | None = None
 
     @property
     def channel(self) -> ByteStream:
@@ -44,7 +39,7 @@
     @property
     def has_unread(self) -> bool:
         """Whether bytes beyond the last message were received."""
-        return bool(self._unread) or self._unpacker is not None or self._stream.has_unread
+        return bool(self._unread) or self._scanner is not None or self._stream.has_unread
 
     async def send(self, message: object) -> None:
         """Send one message; raises `StreamLostError`."""
@@ -57,38 +52,40 @@
             if not data:
                 raise StreamLostError(f"{self._stream.peer} closed the connection")
             self._unread = b""
-            is_complete, parts = self._unpack(data)
-            if is_complete:
-                return self._codec.structure(parts)
-
-    def _unpack(self, data: bytes) -> tuple[bool, Any]:
-        """Unpack the first message; the first value tells whether it is complete."""
-        if self._unpacker is not None:
-            return self._unpack_more(self._unpacker, data)
-        try:
-            return True, msgpack.unpackb(data)
-        except msgpack.exceptions.ExtraData as error:
-            self._unread = error.extra
-            return True, error.unpacked
-        except ValueError:  # incomplete or invalid; the incremental unpacker distinguishes them
-            self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
-            self._fed_bytes = 0
-            return self._unpack_more(self._unpacker, data)
-
-    def _unpack_more(self, unpacker: msgpack.Unpacker, data: bytes) -> tuple[bool, Any]:
+            packed = self._complete(data)
+            if packed is not None:
+                return self._codec.decode_complete(packed)
+
+    def _complete(self, data: bytes) -> bytes | None:
+        """The bytes of the first message, `None` while they are incomplete."""
+        if self._scanner is not None:
+            return self._complete_pieces(self._scanner, data)
+        rest = self._codec.scan(data)
+        if isinstance(rest, MessageScanner):
+            self._scanner = rest
+            self._pieces.append(data)
+            return None
+        return self._without_rest(data, rest)
+
+    def _complete_pieces(self, scanner: MessageScanner, data: bytes) -> bytes | None:
         try:
-            unpacker.feed(data)
-            self._fed_bytes += len(data)
-            parts = unpacker.unpack()
-        except msgpack.exceptions.BufferFull as error:
-            raise MessageError(f"a message is larger than {MAX_MESSAGE_BYTES} bytes") from error
-        except msgpack.exceptions.OutOfData:
-            return False, None
+            rest = scanner.feed(data)
         except ValueError as error:
             raise MessageError(f"invalid message: {error}") from error
-        self._unread = unpacker.read_bytes(self._fed_bytes - unpacker.tell())
-        self._unpacker = None
-        return True, parts
+        if rest is None:
+            self._pieces.append(data)
+            return None
+        packed = b"".join((*self._pieces, self._without_rest(data, rest)))
+        self._pieces.clear()
+        self._scanner = None
+        return packed
+
+    def _without_rest(self, data: bytes, rest: int) -> bytes:
+        """The bytes that belong to the message; those behind it are kept for the next one."""
+        if not rest:
+            return data
+        self._unread = data[-rest:]
+        return data[:-rest]
 
     def close(self) -> None:
         """Close the connection after the data sent has been written."""
--- a/packages/wire/tests/test_wire.py
+++ b/packages/wire/tests/test_wire.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import gc
 import random
+import sys
+import tracemalloc
 import unittest
+from collections.abc import Callable
 
 import anyio
 import msgpack
@@ -151,16 +155,67 @@
             with self.subTest(chunks), self.assertRaises(MessageError):
                 self.receive_all(chunks)
 
-    def test_no_unpacker_is_kept_between_messages(self) -> None:
+    def test_no_scanner_is_kept_between_messages(self) -> None:
         async def run() -> None:
             data = CODEC.encode(Plain(1, 0.5, [], b"x" * 100))
             stream = MessageStream(FakeByteStream([data[:9], data[9:], data]), CODEC)  # type: ignore[arg-type]
             for _ in range(2):
                 await stream.receive()
-                self.assertIsNone(stream._unpacker)
+                self.assertIsNone(stream._scanner)
+                self.assertEqual(stream._pieces, [])
 
         anyio.run(run)
 
+    # Guards against parts of messages that are cut, which the unpacker keeps for ever.
+    def test_a_message_that_is_cut_leaves_nothing_behind(self) -> None:
+        whole = msgpack.packb([2, [["name" * 9]] * 200])
+        flat = CODEC.encode(Plain(1, 0.5, ["a" * 9] * 200, b"x" * 900))
+        cases: dict[str, tuple[list[bytes], type[Exception] | None]] = {
+            "nested": ([whole[:-9]], StreamLostError),
+            "flat": ([flat[:-9]], StreamLostError),
+            "in two pieces": ([whole[:2000], whole[2000:-9]], StreamLostError),
+            "completed": ([whole[:2000], whole[2000:]], None),
+            "invalid behind": ([whole[:-39] + b"\xc1"], MessageError),
+        }
+        for name, (chunks, error) in cases.items():
+            with self.subTest(name):
+
+                def cut(chunks: list[bytes] = chunks, error: type | None = error) -> None:
+                    if error is MessageError:
+                        with self.assertRaises(MessageError):
+                            self.receive_all(list(chunks))
+                    else:
+                        self.assertEqual(len(self.receive_all(list(chunks))), error is None)
+
+                self.assert_leaves_nothing(cut)
+        with self.subTest("datagram"):
+
+            def decode() -> None:
+                with self.assertRaises(MessageError):
+                    CODEC.decode(whole[:-9])
+
+            self.assert_leaves_nothing(decode)
+
+    def assert_leaves_nothing(self, action: Callable[[], None]) -> None:
+        """Check that repeating `action` allocates nothing that stays."""
+        action()
+        gc.collect()
+        before = sys.getallocatedblocks()
+        for _ in range(50):
+            action()
+        gc.collect()
+        self.assertLess(sys.getallocatedblocks() - before, 1000)
+
+    # Guards against arrays that are allocated by the length that they claim.
+    def test_lengths_that_a_message_claims_allocate_nothing(self) -> None:
+        for claim in (b"\xdd\x04\x00\x00\x00", b"\xdf\x02\x00\x00\x00", b"\xc6\x03\xff\xff\xff"):
+            with self.subTest(claim):
+                tracemalloc.start()
+                self.receive_all([claim, claim * 3])
+                _, peak = tracemalloc.get_traced_memory()
+                tracemalloc.stop()
+                self.assertLess(peak, 4_000_000)
+
 
 class TrafficTest(unittest.TestCase):
     def test_calls_are_not_control_traffic(self) -> None:
