A body has the time of its call, and stands still for five seconds at most

A body could arrive for as long as its parts came within the idle time of its route, 30 s by default, far beyond the deadline of its call; a streamed one held a slot of its target meanwhile. One that stood still with its head at a target was answered 408, which says that it did not run.

A body that is buffered has to be complete by the deadline of its call (408, not run, connection closed), also where another daemon sends it. No body may stand still for more than 5 s, or the idle time of its route if that is shorter; a streamed one gives its slot back then. Once a target has its head, the status is 504 in place of 408 and 413.

On the code before, both tests of BodyTimeTest fail: no answer in 5 s to a body that is not complete at its deadline of 0.5 s, and 408 for a streamed body that stands still.

Run: all tests of handover, http1, wire and admission, and of calls test_bodies, test_pipelining, test_pipelined_streams, test_workspace_keys, test_nested_failures, test_call_run, test_target_answers, test_refused_offer and test_entry_process pass. Not run on this commit: the other tests of calls, hosted, daemon, settings and platform.

--- a/packages/calls/src/acaciayard_calls/_request_runs.py
+++ b/packages/calls/src/acaciayard_calls/_request_runs.py
@@ -53,6 +53,12 @@
 
 #: Header field of a stored response to an earlier call with the same idempotency key.
 REPLAYED: Final = b"x-replayed: true\r\n"
+#: Longest time in seconds for which a body may stand still, whatever its route allows; a slow or
+#: lossy link delays a part of it by about a second.
+_MAX_STILL_S: Final = 5.0
+#: Statuses that say that a request did not run, and that are therefore not given to one whose head
+#: a target has.
+_NOT_RUN_STATUSES: Final = frozenset({408, 413})
 #: Refusal of a request for whose body this process has no room, with seconds until a retry.
 _NO_ROOM: Final = NotRun("too many bodies arrive at this daemon", 0.1, is_overload=True)
 
@@ -234,13 +240,16 @@
         """Read a body completely; raises `HttpError` or `RejectedError` if that is not possible."""
         if request.head.expects_continue:
             await self._stream.send(CONTINUE)
-        with anyio.CancelScope() as scope:
+        deadline = deadline_of(request.head, plan, self._context, started=request.started)
+        with self._timers.timeout(deadline - self._timers.now()) as scope:
             held.on_dropped = scope.cancel
             parts = await self._read_parts(request, plan, held)
             if not held.is_dropped:
                 held.complete()
                 return b"".join(parts)
-        raise HttpError(408, "the body stood still, and its room was needed")
+        if held.is_dropped:
+            raise HttpError(408, "the body stood still, and its room was needed")
+        raise HttpError(408, "the body was not complete before the deadline of its call")
 
     async def _read_parts(self, request: CallerRequest, plan: Plan, held: HeldBody) -> list[bytes]:
         parts: list[bytes] = []
@@ -262,12 +271,13 @@
 
     async def _next_part(self, request: CallerRequest, plan: Plan) -> BodyPart | End:
         """The next bytes of the request's body."""
-        with self._timers.timeout(plan.timeout.idle_s):
+        still = min(plan.timeout.idle_s, _MAX_STILL_S)
+        with self._timers.timeout(still):
             part = await self._reader.next_part()
             if isinstance(part, End):
                 request.body_unread = False
             return part
-        raise HttpError(408, f"the body stood still for {plan.timeout.idle_s:g} s")
+        raise HttpError(408, f"the body stood still for {still:g} s")
 
     # --- buffered bodies ----------------------------------------------------------------------
 
@@ -446,7 +456,12 @@
     async def _pump_body(self, request: CallerRequest, attempt: Attempt, plan: Plan) -> None:
         """Forward the request body; if the target is lost, its response reports that."""
         while True:
-            part = await self._next_part(request, plan)
+            try:
+                part = await self._next_part(request, plan)
+            except HttpError as error:
+                if error.status in _NOT_RUN_STATUSES:
+                    raise HttpError(504, error.reason) from error
+                raise
             try:
                 match part:
                     case BodyPart(data):
--- a/packages/calls/tests/test_bodies.py
+++ b/packages/calls/tests/test_bodies.py
@@ -14,7 +14,7 @@
 from acaciayard_callmodel import CallWatch, NotRun, OutcomeUnknown
 from acaciayard_calls import Answered, EntryServer, ServiceLevels
 from acaciayard_http1 import RequestHead
-from acaciayard_resources import Resource, Route, Service
+from acaciayard_resources import Resource, Route, Service, TimeoutPolicy
 from acaciayard_wire import ByteStream
 
 #: Longest wait for an answer.
@@ -26,6 +26,7 @@
     Service(name="a"),
     Route(name="all", service="a", path="/", idempotent=True),
 )
+TIMED_ROUTE = Route(name="all", service="a", path="/", idempotent=True, timeout="t")
 
 
 def head(length: int) -> bytes:
@@ -165,6 +166,39 @@
         run_scene(body)
 
 
+class BodyTimeTest(unittest.TestCase):
+    # Guards against bodies that are waited for after the deadline of their calls.
+    def test_a_body_has_until_the_deadline_of_its_call(self) -> None:
+        async def body(scene: BodyScene) -> None:
+            stream = await scene.send_incomplete(LARGE)
+            data = await read_answer(stream)
+            self.assertTrue(data.startswith(b"HTTP/1.1 408 "), data[:200])
+            self.assertIn(b"x-outcome: not_run", data)
+            self.assertEqual(scene.host.bodies.held, 0)
+            self.assertEqual(scene.target.request_heads, [])
+
+        run_scene(body, routes=(*ROUTES[:1], TimeoutPolicy(name="t", total_s=0.5), TIMED_ROUTE))
+
+    # Guards against streamed bodies that stand still and keep a slot, and against a status that
+    # says not run of a request whose head a target has.
+    def test_a_streamed_body_that_stands_still_gives_its_slot_back(self) -> None:
+        async def wait(_request: RequestHead, _stream: ByteStream) -> None:
+            await anyio.sleep_forever()
+
+        async def body(scene: BodyScene) -> None:
+            scene.target.script = wait
+            stream = await scene.connect()
+            await stream.send(head(60_000_000) + bytes(100_000))
+            (target,) = scene.host.targets.all
+            await eventually(lambda: target.gate.running == 1)
+            await eventually(lambda: target.gate.running == 0)
+            data = await read_answer(stream)
+            self.assertTrue(data.startswith(b"HTTP/1.1 504 "), data[:200])
+
+        policy = TimeoutPolicy(name="t", total_s=20, idle_s=0.5)
+        run_scene(body, routes=(*ROUTES[:1], policy, TIMED_ROUTE))
+
+
 class HandedOverBodyTest(unittest.TestCase):
     # Guards against a daemon that takes bodies of other daemons for which it has no room.
     def test_a_host_without_room_refuses_and_another_one_runs_the_call(self) -> None:
--- a/packages/handover/src/acaciayard_handover/_server.py
+++ b/packages/handover/src/acaciayard_handover/_server.py
@@ -287,7 +287,8 @@
         if held is None:
             return await _receive_pushed_body(messages)
         body = None
-        with anyio.CancelScope() as scope:
+        remaining = exchange.call.deadline - self._timers.now()
+        with self._timers.timeout(remaining) as scope:
             held.on_dropped = scope.cancel
             if exchange.call.length > LARGEST_INLINE_BODY:
                 body = await self._receive_requested_body(exchange, messages, held)
@@ -295,6 +296,8 @@
                 body = await _receive_pushed_body(messages)
         if held.is_dropped:
             return None
+        if body is None:
+            raise MessageError("a body was not complete before the deadline of its call")
         held.complete()
         return body
 
