Entry: a caller that takes no byte of an answer for 20 s is reset

What callers saw: a client that does not read an answer keeps its connection, its buffers and, for an answer that is complete, its place in the pipeline for ever; closing such a connection does not end it either, since a close waits for the bytes written.

Cause: only answers whose body is still arriving have a deadline.

Change: connections that hold bytes which were written and not sent, and those that close with such bytes, are checked every 5 s. One whose other end has taken none of them for 20 s is reset, counted and logged as unread_answer. Bytes in the kernel's queue count as well, so that a slow reader on a slow link is seen to make progress; where the host does not tell its size, only the process's own buffer counts. A reset ends the request's calls as any lost caller does.

Tests of wire (21), http1 (18), handover (11), daemon (10), resources (27), of calls test_entry_process (10) and 62 others, of platform test_answer_deadlines and test_platform_process (14) pass. No run with a crowd of clients was made yet.

--- a/packages/calls/src/acaciayard_calls/_entry.py
+++ b/packages/calls/src/acaciayard_calls/_entry.py
@@ -178,8 +178,9 @@
             stream.close()
 
     async def run(self) -> None:
-        """Close idle connections periodically; never returns."""
+        """Close idle and stalled connections periodically; never returns."""
         async for _ in self._context.timers.ticks(_SWEEP_INTERVAL_S):
+            self._buffers.reset_stalled()
             for connection in tuple(self._connections):
                 connection.close_if_timed_out()
 
--- a/packages/wire/src/acaciayard_wire/_connection_buffers.py
+++ b/packages/wire/src/acaciayard_wire/_connection_buffers.py
@@ -15,6 +15,8 @@
 REPORTED_BYTES: Final = 8 * 1024
 #: Most bytes that one read takes from the kernel.
 _READ_BYTES: Final = 64 * 1024
+#: Seconds after which a connection is reset whose other end takes none of the bytes written.
+_STALLED_WRITE_S: Final = 20.0
 #: Share of the bound down to which connections are reset, so that not every read resets one.
 _REDUCED_SHARE: Final = 0.9
 
@@ -26,6 +28,14 @@
     def held(self) -> int:
         """Bytes that were received and not read, or written and not sent."""
 
+    @property
+    def undelivered(self) -> int:
+        """Bytes that were written and not taken by the other end, as far as is known."""
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether it closes once the bytes written have been sent."""
+
     @property
     def peer(self) -> str:
         """Address of the other end, for logs."""
@@ -55,6 +65,10 @@
     held: int
     #: When it last made progress, on the clock of the timer service.
     since: float
+    #: Bytes that the other end had not taken when they were last counted.
+    undelivered: int = 0
+    #: When these had last been none, or fewer than before.
+    taken: float = 0.0
 
 
 class ConnectionBuffers:
@@ -92,12 +106,13 @@
         """Note what a connection holds, and whether its bytes were read or sent."""
         held = connection.held
         holding = self._holdings.get(connection)
-        if held <= REPORTED_BYTES:
+        if not held or (held <= REPORTED_BYTES and not connection.is_closing):
             if holding is not None:
                 self.forget(connection)
             return
         if holding is None:
-            holding = self._holdings[connection] = _Holding(0, self._timers.now())
+            now = self._timers.now()
+            holding = self._holdings[connection] = _Holding(0, now, taken=now)
         elif has_progressed:
             holding.since = self._timers.now()
         self._held += held - holding.held
@@ -111,6 +126,14 @@
         if holding is not None:
             self._held -= holding.held
 
+    def reset_stalled(self) -> None:
+        """Reset the connections that have taken nothing for long; called periodically."""
+        self._recount()
+        latest = self._timers.now() - _STALLED_WRITE_S
+        for connection, holding in tuple(self._holdings.items()):
+            if max(holding.since, holding.taken) <= latest:
+                self._reset(connection, "unread_answer")
+
     def _reduce(self) -> None:
         """Reset connections until the others hold less than the bound."""
         self._recount()
@@ -131,9 +154,13 @@
         """Measure what the connections hold, since the kernel takes bytes without a report."""
         for connection, holding in self._holdings.items():
             held = connection.held
+            undelivered = connection.undelivered
             if held < holding.held:
                 holding.since = self._timers.now()
+            if not undelivered or undelivered < holding.undelivered:
+                holding.taken = self._timers.now()
             holding.held = held
+            holding.undelivered = undelivered
         self._held = sum(holding.held for holding in self._holdings.values())
 
     def _reset(self, connection: BufferedConnection, reason: str) -> None:
--- a/packages/wire/src/acaciayard_wire/_stream.py
+++ b/packages/wire/src/acaciayard_wire/_stream.py
@@ -9,8 +9,11 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
 import struct
+import sys
+import termios
 from collections import deque
 from collections.abc import Callable
 from typing import Final, cast
@@ -311,6 +314,28 @@
         unsent = self._transport.get_write_buffer_size() if self._transport is not None else 0
         return self._buffered + unsent + self._held_outside
 
+    @property
+    def undelivered(self) -> int:
+        """Bytes that were written and not acknowledged by the other end, as far as is known."""
+        if self._transport is None or self._lost:
+            return 0
+        unsent = self._transport.get_write_buffer_size()
+        try:
+            own = self._transport.get_extra_info("socket")
+            queued = fcntl.ioctl(own.fileno(), termios.TIOCOUTQ, b"\0" * 4)
+        except OSError:  # the host does not tell what its kernel holds
+            return unsent
+        return unsent + int.from_bytes(queued, sys.byteorder)
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether it closes once the bytes written have been sent."""
+        return self._transport is not None and self._transport.is_closing()
+
+    def close(self) -> None:
+        super().close()
+        self._buffers.update(self, has_progressed=False)
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where the event loop stores the bytes of the next read."""
         return self._buffers.read_buffer
--- a/packages/wire/tests/test_connection_buffers.py
+++ b/packages/wire/tests/test_connection_buffers.py
@@ -103,6 +103,35 @@
 
         run_listening(24 * KB * KB, body)
 
+    # Guards against answers and descriptors that are held for ever for callers who do not read.
+    def test_a_write_without_progress_is_reset(self) -> None:
+        async def body(listening: Listening) -> None:
+            _, stuck = await listening.client()
+            _, closed = await listening.client()
+            slow_client, slow = await listening.client()
+            unread_client, unread = await listening.client()
+            unread_client.send_nowait(b"x" * (20 * KB))  # a long request is in progress
+            for accepted in (stuck, closed, slow):
+                accepted.send_nowait(b"x" * (16 * KB * KB))
+            closed.close()
+            await anyio.sleep(0.1)
+            for _ in range(3):
+                listening.buffers.reset_stalled()
+                self.assertEqual(listening.resets, [])
+                await listening.timers.advance(9.0)
+                for _ in range(8):
+                    await slow_client.receive()
+                    await anyio.sleep(0.005)
+            listening.buffers.reset_stalled()
+            self.assertEqual([r.reason for r in listening.resets], ["unread_answer"] * 2)
+            await until(lambda: stuck.is_lost and closed.is_lost)
+            self.assertFalse(slow.is_lost or unread.is_lost)
+            unread.reset()
+            slow.reset()
+            await until(lambda: listening.buffers.held == 0)
+
+        run_listening(256 * KB * KB, body)
+
     def test_a_connection_that_makes_progress_is_kept(self) -> None:
         async def body(listening: Listening) -> None:
             stuck_client, stuck = await listening.client()
