Entry: a head that does not end is answered 408 in its time

What callers saw: a connection whose request head stops short stayed open for the idle time (75 s by default) and up to 5 s more.

Cause: the time for heads that the configuration states (head_s) was read and not used; the check used the idle time alone and ran each 5 s.

Change: the check runs each 0.5 s and uses head_s, from the check that first sees the head; it counts and logs slow_head. Bytes before the path of a request do not count as a head yet and fall under the idle time.

--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -44,6 +44,8 @@
         self._extra_readers = 0
         self._extra_readers_ended: anyio.Event | None = None
         self._idle_since = self._timers.now()
+        #: When the head that is being received was first noticed, and `_idle_since` at that time.
+        self._head_noticed = (0.0, -1.0)
         self._answers = AnswerWriter(
             stream,
             context.timers,
@@ -69,16 +71,26 @@
         return len(self._pipeline)
 
     def close_if_timed_out(self) -> None:
-        """Close the connection if its next request did not arrive completely within the idle time.
+        """Close the connection if the next request, or the rest of its head, is not there in time.
 
         Called periodically for all connections, which is cheaper than one timer per request.
         """
-        if self.running or self._timers.now() - self._idle_since < self._context.idle_for:
+        if self.running:
             return
+        now = self._timers.now()
         if self._reader.is_mid_head:
+            noticed, idle_since = self._head_noticed
+            if idle_since != self._idle_since:
+                self._head_noticed = (now, self._idle_since)
+                return
+            if now - noticed < self._context.head_for:
+                return
             with contextlib.suppress(StreamLostError):
                 timeout_error = HttpError(408, "the request came too slowly")
                 self._stream.send_nowait(error_bytes(timeout_error, may_have_run=False))
+            self._context.events.caller_cut(self._stream.peer, "slow_head", 0, now - noticed)
+        elif now - self._idle_since < self._context.idle_for:
+            return
         self._stream.close()
 
     def close_if_idle(self) -> None:
--- a/packages/calls/src/acaciayard_calls/_entry.py
+++ b/packages/calls/src/acaciayard_calls/_entry.py
@@ -46,8 +46,8 @@
 
 __all__ = ["EntryServer"]
 
-#: Seconds between two checks for idle connections.
-_SWEEP_INTERVAL_S: Final = 5.0
+#: Seconds between two checks for idle, slow and stalled connections.
+_SWEEP_INTERVAL_S: Final = 0.5
 #: Name of the `EntryLimits` resource that applies to every host.
 _DEFAULT_LIMITS: Final = "default"
 #: Limits for requests of callers; bodies have none, since they are streamed.
@@ -149,6 +149,7 @@
                 head_bytes=limits.head_bytes,
                 body_bytes=limits.body_bytes,
             )
+            self._context.head_for = limits.head_s
             self._context.idle_for = limits.idle_s
 
     async def open(self, address: str, port: int, tasks: anyio.abc.TaskGroup) -> None:
--- a/packages/calls/src/acaciayard_calls/_intake.py
+++ b/packages/calls/src/acaciayard_calls/_intake.py
@@ -92,6 +92,8 @@
     max_buffered_body: int = LARGEST_WHOLE_BODY
     #: Whether bodies of unknown length are buffered as well, up to that size.
     buffers_chunked: bool = False
+    #: Seconds within which the head of a request must be complete once it was begun.
+    head_for: float = 75.0
     #: Seconds for which a connection may wait for its next request.
     idle_for: float = 75.0
     #: Receives the outcome of each call.
--- a/packages/calls/tests/test_pipelining.py
+++ b/packages/calls/tests/test_pipelining.py
@@ -22,7 +22,7 @@
     RequestPipeline,
 )
 from acaciayard_http1 import Framing, RequestHead
-from acaciayard_resources import Route, Service
+from acaciayard_resources import EntryLimits, Route, Service
 from acaciayard_routing import Router
 from acaciayard_wire import ByteStream, Traffic
 
@@ -201,6 +201,28 @@
     anyio.run(run)
 
 
+class HeadTimeTest(unittest.TestCase):
+    # Guards against connections that are held by heads which do not end.
+    def test_a_head_that_does_not_end_is_answered_408(self) -> None:
+        async def body(scene: PipelineScene) -> None:
+            tasks = scene.entry._context.tasks
+            assert tasks is not None
+            tasks.start_soon(scene.entry.run)
+            await scene.caller.send(get("/safe/1"))
+            await scene.wait_for_answers("200 /safe/1")
+            await scene.caller.send(get("/safe/2")[:-2])
+            await scene.wait_until_closed()
+            self.assertEqual(scene.caller.answers, ["200 /safe/1", "408"])
+            self.assertEqual(scene.target.received, ["/safe/1"])
+
+        routes = router(
+            EntryLimits(name="default", head_s=0.2),
+            Service(name="a"),
+            Route(name="safe", service="a", path="/safe", idempotent=True),
+        )
+        run_scene(BlockingTarget(), body, routes=routes)
+
+
 class ResponseOrderTest(unittest.TestCase):
     def test_later_requests_run_concurrently_with_the_first(self) -> None:
         async def body(scene: PipelineScene) -> None:
