--- a/packages/calls/tests/test_bodies.py
+++ b/packages/calls/tests/test_bodies.py
@@ -128,7 +128,7 @@
     # Guards against bodies without a bound of their sum.
     def test_bodies_beyond_the_room_are_refused_at_once(self) -> None:
         async def body(scene: BodyScene) -> None:
-            await scene.send_incomplete(LARGE)
+            incomplete = await scene.send_incomplete(LARGE)
             data = await scene.answer_to(LARGE)
             self.assertTrue(data.startswith(b"HTTP/1.1 503 "), data[:200])
             for line in (b"x-outcome: not_run", b"retry-after: ", b"connection: close"):
@@ -136,6 +136,7 @@
             self.assertEqual(scene.target.request_heads, [])
             data = await scene.answer_to(60_000)
             self.assertTrue(data.startswith(b"HTTP/1.1 200 "), data[:200])
+            await incomplete.aclose()
 
         run_scene(body)
 
