Streamed bodies leave half of the slots of a target to other calls

Ordinary requests were refused at all daemons while bodies of 60 MB that did not go on, or that trickled, held every slot of the targets: a body that is too large to be buffered takes its slot before it has come.

Cause: nothing bounded how many slots such bodies hold together. Now they take half of them at most, one at least; a further one is refused at once as not run and offered to other hosts. The unit test names a new argument, so that it was not run on the code before.

--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -68,6 +68,9 @@
 _MAX_UNDELIMITED_BODY: Final = 1024 * 1024
 #: Timeout for the body of a response that refuses a call.
 _REFUSAL_BODY_SECONDS: Final = 0.1
+_STREAMS_FULL: Final = NotRun(
+    "as many bodies as may hold slots are arriving", 0.5, is_overload=True
+)
 _ABORTED_REFUSAL: Final = NotRun("the call was given up before it was sent", 0.1)
 
 
@@ -83,7 +86,11 @@
         dialect: Dialect = OWN_DIALECT,
         on_queued: Callable[[], None] = lambda: None,
         is_forwarded: bool = False,
+        is_streamed: bool = False,
     ) -> None:
+        #: Whether the call holds its slot while its body arrives.
+        self._is_streamed = is_streamed
+        self._has_stream_place = False
         #: Whether another daemon forwards the call; otherwise the entry here compares it with the
         #: grace period.
         self._is_forwarded = is_forwarded
@@ -204,6 +211,10 @@
         if target is None:
             return self._absent()
         self._target = target
+        if self._is_streamed and not self._has_stream_place:
+            self._has_stream_place = target.enter_stream()
+            if not self._has_stream_place:
+                return _STREAMS_FULL
         entered = target.gate.try_enter(
             call.priority,
             call.deadline,
@@ -530,6 +541,9 @@
     def _release(self, *, reuse: bool) -> None:
         if self._reservation is not None:
             self._reservation.end()
+        if self._has_stream_place and self._target is not None:
+            self._has_stream_place = False
+            self._target.leave_stream()
         if not reuse:
             self._drop_silent()
         connection, self._connection = self._connection, None
--- a/packages/admission/src/acaciayard_admission/_target.py
+++ b/packages/admission/src/acaciayard_admission/_target.py
@@ -38,6 +38,8 @@
 _IDLE_TIMEOUT_SECONDS: Final = 4.0
 #: Time before the end of the timeout that a target states from which its connection is not reused.
 _IDLE_MARGIN_SECONDS: Final = 0.5
+#: Divisor of the slots that gives those which streamed bodies may hold, one at least.
+_STREAM_SLOTS_DIVISOR: Final = 2
 #: Maximum number of idle connections to a target.
 _MAX_IDLE_CONNECTIONS: Final = 32
 #: Timeout for checking whether a target that broke off a connection still listens.
@@ -150,6 +152,7 @@
         self._is_ended = False
         self._blamed: frozenset[RunningCall] = frozenset()
         self._is_withdrawn = False
+        self._streams = 0
         self._notices = NoticeRecord()
         self.lease_until = 0.0
 
@@ -219,6 +222,21 @@
         """Record that a call has ended or that its connection was closed."""
         self._at_work.discard(running)
 
+    def enter_stream(self) -> bool:
+        """Take a place for a call whose body is streamed; return whether there is one.
+
+        Such a call holds its slot while its body arrives; together they leave slots for calls
+        whose bodies are complete.  `leave_stream` must follow.
+        """
+        if self._streams >= max(1, self._gate.slots // _STREAM_SLOTS_DIVISOR):
+            return False
+        self._streams += 1
+        return True
+
+    def leave_stream(self) -> None:
+        """Give back the place of a call whose body is streamed."""
+        self._streams -= 1
+
     async def has_ended(self) -> bool:
         """Return whether nothing listens at the address of the target any more.
 
--- a/packages/calls/src/acaciayard_calls/_attempt.py
+++ b/packages/calls/src/acaciayard_calls/_attempt.py
@@ -142,7 +142,11 @@
         if candidate.host == self.host:
             self.targets.adopt(forwarded)
             exchange = LocalExchange(
-                call, targets=self.targets, timers=self.timers, dialect=self.dialect
+                call,
+                targets=self.targets,
+                timers=self.timers,
+                dialect=self.dialect,
+                is_streamed=not call.is_whole,
             )
         else:
             exchange = RemoteExchange(
--- a/packages/calls/tests/test_target_answers.py
+++ b/packages/calls/tests/test_target_answers.py
@@ -122,6 +122,29 @@
 
         self.run_target(script, body)
 
+    # Guards against bodies that do not go on and hold all slots of a target.
+    def test_streamed_bodies_leave_slots_for_others(self) -> None:
+        async def body(harness: CallHarness, target: ScriptedTarget, send_call: SendCall) -> None:
+            streams = []
+            for number in range(3):
+                exchange = LocalExchange(
+                    harness.call(is_whole=False, length=5_000_000, method=b"POST"),
+                    targets=harness.entry.targets,
+                    timers=harness.entry.timers,
+                    dialect=DIALECT,
+                    is_streamed=True,
+                )
+                refusal = await exchange.start()
+                self.assertEqual(isinstance(refusal, NotRun), number == 2, refusal)
+                streams.append(exchange)
+            self.assertIsInstance(await send_call(harness.call()), Answer)
+            for exchange in streams:
+                exchange.close()
+            self.assertEqual(harness.entry.targets.all[0].gate.running, 0)
+            self.assertTrue(harness.entry.targets.all[0].enter_stream())
+
+        self.run_target(respond, body)
+
     # Guards against a call that runs although it was given up, and one that reaches a target that
     # has left, on a connection opened in place of a lost one.
     def test_call_that_has_ended_is_not_sent(self) -> None:
--- a/packages/handover/src/acaciayard_handover/_server.py
+++ b/packages/handover/src/acaciayard_handover/_server.py
@@ -171,6 +171,7 @@
             dialect=self._dialect,
             on_queued=lambda: messages.channel.send_nowait(QUEUED),
             is_forwarded=True,
+            is_streamed=not (head.is_whole or head.is_held),
         )
         held = self._bodies.open() if call.length > 0 and (head.is_whole or head.is_held) else None
         self._running += 1
