The connections of callers have a bound, by the descriptors of the process

700 idle connections made a daemon open 727 descriptors where its settings give 512: nothing bounded them, and without descriptors a daemon reaches no target, no other daemon and not the store.

Callers' connections may now use 0.6 of the descriptors. A further one takes the place of the one that has been idle for longest; if none is idle it is answered 503, not run. The kernel accepts fewer ahead of the process where it has few descriptors, since these come at once.

test_idle_connections of test_client_crowds fails before (727, 726 and 658 descriptors) and passes.

--- a/packages/calls/src/acaciayard_calls/__init__.py
+++ b/packages/calls/src/acaciayard_calls/__init__.py
@@ -7,7 +7,7 @@
 from ._attempt import Answered, Attempt, DispatchContext
 from ._claimer import AlreadyClaimed, AnswerStore, Claimed, Claimer
 from ._claims import ClaimCoordinator, ClaimHolder, ClaimTable
-from ._connection_limits import ConnectionLimits
+from ._connection_limits import ConnectionLimits, connection_limits
 from ._dispatcher import Dispatcher
 from ._entry import EntryServer
 from ._levels import WINDOWS, LevelReport, ServiceLevels
@@ -31,5 +31,6 @@
     "Loss",
     "ServiceLevels",
     "WINDOWS",
+    "connection_limits",
     "loss_of",
 ]
--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -70,6 +70,21 @@
         """Requests that are being served."""
         return len(self._pipeline)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being served, read or answered."""
+        return not (self.running or self._reader.is_mid_head or self._stream.has_unread)
+
+    @property
+    def idle_since(self) -> float:
+        """When the last request ended, by the timer service."""
+        return self._idle_since
+
+    @property
+    def peer(self) -> str:
+        """Address of the caller, for logs."""
+        return self._stream.peer
+
     def close_if_timed_out(self) -> None:
         """Close the connection if the next request, or the rest of its head, is not there in time.
 
--- a/packages/calls/src/acaciayard_calls/_entry.py
+++ b/packages/calls/src/acaciayard_calls/_entry.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable, Generator
 from typing import Final
 
@@ -19,6 +20,7 @@
     OWN_DIALECT,
     CallEvents,
     Dialect,
+    NotRun,
     UsageCaps,
 )
 from acaciayard_http1 import Limits
@@ -32,6 +34,7 @@
     ConnectionReset,
     Listener,
     Purpose,
+    StreamLostError,
     Traffic,
     listen,
 )
@@ -43,6 +46,7 @@
 from ._first_asked import FirstRequestEstimator
 from ._intake import EntryContext
 from ._levels import ServiceLevels
+from ._refusals import not_run_bytes
 
 __all__ = ["EntryServer"]
 
@@ -50,6 +54,8 @@
 _SWEEP_INTERVAL_S: Final = 0.5
 #: Name of the `EntryLimits` resource that applies to every host.
 _DEFAULT_LIMITS: Final = "default"
+#: Refusal of a connection beyond the limit, none of which is idle, with seconds until a retry.
+_TOO_MANY_CONNECTIONS: Final = NotRun("too many connections at this daemon", 1.0, is_overload=True)
 #: Limits for requests of callers; bodies have none, since they are streamed.
 _CALLER_LIMITS: Final = Limits(headers=100, head_bytes=32 * 1024)
 
@@ -99,6 +105,7 @@
             caps=caps,
         )
         self._connections: set[CallerConnection] = set()
+        self._connection_limits = connection_limits
         self._buffers = ConnectionBuffers(
             connection_limits.held_bytes, timers=timers, on_reset=self._note_reset
         )
@@ -160,16 +167,23 @@
             port,
             traffic=self._traffic,
             purpose=Purpose.CALLS,
-            on_stream=lambda stream: tasks.start_soon(self._serve, stream),
+            on_stream=lambda stream: self._accept(stream, tasks),
             buffers=self._buffers,
+            backlog=self._connection_limits.backlog,
         )
 
     def _note_reset(self, reset: ConnectionReset) -> None:
         self._context.events.caller_cut(reset.peer, reset.reason, reset.held, reset.seconds)
 
-    async def _serve(self, stream: ByteStream) -> None:
+    def _accept(self, stream: ByteStream, tasks: anyio.abc.TaskGroup) -> None:
+        if not self._make_room():
+            self._refuse(stream)
+            return
         connection = CallerConnection(stream, self._context)
         self._connections.add(connection)
+        tasks.start_soon(self._serve, connection, stream)
+
+    async def _serve(self, connection: CallerConnection, stream: ByteStream) -> None:
         try:
             await self._context.timers.account.run(ProcessorPart.ENTRY, connection.run)
         except Exception as error:
@@ -178,6 +192,34 @@
             self._connections.discard(connection)
             stream.close()
 
+    def _make_room(self) -> bool:
+        """Close the connection that has been idle for longest if there are as many as allowed."""
+        if len(self._connections) < self._connection_limits.count:
+            return True
+        idle = [each for each in self._connections if each.is_idle]
+        if not idle:
+            return False
+        longest = min(idle, key=lambda each: each.idle_since)
+        longest.close_if_idle()
+        self._connections.discard(longest)
+        self._context.events.caller_cut(longest.peer, "idle_for_another", 0, 0.0)
+        return True
+
+    def _refuse(self, stream: ByteStream) -> None:
+        """Answer the first request of a connection for which there is no room, and close."""
+        self._context.events.caller_cut(stream.peer, "too_many_connections", 0, 0.0)
+        with contextlib.suppress(StreamLostError):  # the caller has disconnected
+            stream.send_nowait(
+                not_run_bytes(
+                    _TOO_MANY_CONNECTIONS,
+                    dialect=self._context.dialect,
+                    status=503,
+                    keep_alive=False,
+                    bodiless=False,
+                )
+            )
+        stream.close()
+
     async def run(self) -> None:
         """Close idle and stalled connections periodically; never returns."""
         async for _ in self._context.timers.ticks(_SWEEP_INTERVAL_S):
--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -19,11 +19,11 @@
 )
 from acaciayard_callmodel import LARGEST_WHOLE_BODY
 from acaciayard_calls import (
-    ConnectionLimits,
     DispatchContext,
     Dispatcher,
     EntryServer,
     ServiceLevels,
+    connection_limits,
 )
 from acaciayard_handover import (
     RETRY_LOAN_MESSAGES,
@@ -479,8 +479,8 @@
             buffers_chunked=True,
             events=self._calls_log,
             caps=caps.caps,
-            connection_limits=ConnectionLimits(
-                held_bytes=memory_shares(settings.memory_mb).connections
+            connection_limits=connection_limits(
+                memory_mb=settings.memory_mb, max_descriptors=settings.max_descriptors
             ),
         )
         self._versions.on_prepare(entry.prepare)
--- a/packages/wire/src/acaciayard_wire/_stream.py
+++ b/packages/wire/src/acaciayard_wire/_stream.py
@@ -23,6 +23,8 @@
 
 __all__ = ["ByteStream", "Listener", "StreamLostError", "connect", "listen"]
 
+#: Number of connections that the kernel accepts ahead of the process.
+_BACKLOG: Final = 512
 #: Unread bytes above which reading from the socket is paused.
 _READ_HIGH_WATER: Final = 256 * 1024
 #: Unwritten bytes above which `send` waits.
@@ -400,10 +402,12 @@
     purpose: Purpose,
     on_stream: Callable[[ByteStream], None],
     buffers: ConnectionBuffers | None = None,
+    backlog: int = _BACKLOG,
 ) -> Listener:
     """Listen on `address`; `on_stream` is called in the event loop and starts the stream's task.
 
-    With `buffers`, the accepted connections are bounded together in what they hold.
+    With `buffers`, the accepted connections are bounded together in what they hold. The kernel
+    accepts up to `backlog` connections ahead of the process.
     """
 
     def make_protocol() -> ByteStream:
@@ -414,7 +418,7 @@
         return ByteStream(traffic=traffic, purpose=purpose, on_open=on_stream)
 
     server = await asyncio.get_running_loop().create_server(
-        make_protocol, address, port, backlog=512
+        make_protocol, address, port, backlog=backlog
     )
     return Listener(server)
 
