A refused body is let go of before its connection lingers

The parts of a body that was refused or dropped stayed alive with the traceback of its error, for up to a second in which the connection is read on, outside of the budget for bodies.

--- a/packages/calls/src/acaciayard_calls/_request_runs.py
+++ b/packages/calls/src/acaciayard_calls/_request_runs.py
@@ -241,18 +241,23 @@
         if request.head.expects_continue:
             await self._stream.send(CONTINUE)
         deadline = deadline_of(request.head, plan, self._context, started=request.started)
-        with self._timers.timeout(deadline - self._timers.now()) as scope:
-            held.on_dropped = scope.cancel
-            parts = await self._read_parts(request, plan, held)
-            if not held.is_dropped:
-                held.complete()
-                return b"".join(parts)
+        parts: list[bytes] = []
+        try:
+            with self._timers.timeout(deadline - self._timers.now()) as scope:
+                held.on_dropped = scope.cancel
+                await self._read_parts(request, plan, held, parts)
+                if not held.is_dropped:
+                    held.complete()
+                    return b"".join(parts)
+        finally:
+            parts.clear()  # the traceback of an error outlives the room that was held
         if held.is_dropped:
             raise HttpError(408, "the body stood still, and its room was needed")
         raise HttpError(408, "the body was not complete before the deadline of its call")
 
-    async def _read_parts(self, request: CallerRequest, plan: Plan, held: HeldBody) -> list[bytes]:
-        parts: list[bytes] = []
+    async def _read_parts(
+        self, request: CallerRequest, plan: Plan, held: HeldBody, parts: list[bytes]
+    ) -> None:
         limit = self._context.max_buffered_body
         while True:
             match await self._next_part(request, plan):
@@ -263,7 +268,7 @@
                         raise RejectedError(503, self._no_room(request, plan))
                     parts.append(data)
                 case End():
-                    return parts
+                    return
 
     def _no_room(self, request: CallerRequest, plan: Plan) -> NotRun:
         deadline = deadline_of(request.head, plan, self._context, started=request.started)
