Bodies of ended calls are collected by their size

A daemon had 104, 229, 219 and 361 MB resident of the 128 MB in its settings beside three clients of each kind, though the budget for bodies held: large bodies whole and again, beside chunks of one byte, gave 131 MB with three clients of both.

Cause: an ended call may be part of a reference cycle, and the collector counts objects and not bytes. Now the budget has garbage collected once large bodies of half of its size were released; small bodies do not count.

The unit test fails before and passes.

--- a/packages/wire/src/acaciayard_wire/_body_budget.py
+++ b/packages/wire/src/acaciayard_wire/_body_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 from collections.abc import Callable
 from typing import Final
 
@@ -15,6 +16,8 @@
 _STILL_SECONDS: Final = 0.3
 #: Bytes within that time that count as progress, so that single bytes do not keep a body's place.
 _PROGRESS_BYTES: Final = 4 * 1024
+#: Divisor of the budget that gives the bytes of released bodies after which garbage is collected.
+_COLLECTION_DIVISOR: Final = 2
 #: Divisor of the budget that gives the part for small bodies alone.
 _SMALL_DIVISOR: Final = 8
 
@@ -43,6 +46,7 @@
         self._small_body = small_body
         self._timers = timers
         self._held = 0
+        self._released = 0
         self._refused = 0
         self._dropped = 0
         #: The bodies that are not complete, by the time of their last progress.
@@ -88,6 +92,20 @@
             longest._drop()
         return True
 
+    def _note_released(self, size: int) -> None:
+        """Collect garbage once large bodies of some size have been released.
+
+        An ended call may be part of a reference cycle.  The collector counts objects and not bytes,
+        so that on its own it would leave the bodies of many calls in memory.
+        """
+        self._held -= size
+        if size <= self._small_body:
+            return
+        self._released += size
+        if self._released >= self._size // _COLLECTION_DIVISOR:
+            self._released = 0
+            gc.collect()
+
     def _note_progress(self, body: HeldBody) -> None:
         body.progressed_at = self._timers.now()
         if body in self._growing:
@@ -146,8 +164,8 @@
     def release(self) -> None:
         """Give the room back; further calls have no effect."""
         self._budget._growing.pop(self, None)
-        self._budget._held -= self.size
-        self.size = 0
+        size, self.size = self.size, 0
+        self._budget._note_released(size)
 
     def _drop(self) -> None:
         self.is_dropped = True
--- a/packages/wire/tests/test_body_budget.py
+++ b/packages/wire/tests/test_body_budget.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import gc
 import unittest
+import weakref
 
 from acaciayard_timers import ManualTimers
 from acaciayard_wire import BodyBudget
@@ -77,6 +79,21 @@
         self.assertEqual(self.budget.held, 0)
         self.assertTrue(self.grown("new", LARGE_ROOM))
 
+    # Guards against bodies of ended calls that stay in memory as part of reference cycles.
+    async def test_garbage_is_collected_by_the_bytes_of_released_bodies(self) -> None:
+        class Cycle:
+            def __init__(self) -> None:
+                self.own = self
+
+        gc.disable()
+        self.addCleanup(gc.enable)
+        ended = weakref.ref(Cycle())
+        for size, is_collected in ((SMALL, False), (LARGE_ROOM // 2, False), (LARGE_ROOM, True)):
+            body = self.budget.open()
+            body.grow(size)
+            body.release()
+            self.assertEqual(ended() is None, is_collected, size)
+
 
 if __name__ == "__main__":
     unittest.main()
