A body in chunks that is larger than what is buffered is streamed

Cause: a body without a length was buffered whole or refused; only bodies with a length were streamed. Change: what was received up to the limit goes to the target first, and the rest as it arrives, with a place among the streamed bodies of the target and the times of those. Its room is given back once its beginning has been passed on. A call with a key cannot be streamed and is refused as before. Small parts are joined as they are held, as each object takes more memory than a few bytes. What receives bodies has a module of its own. The new test of the entry gets no answer on the code before (413 there) and passes.

--- a/packages/calls/src/acaciayard_calls/_intake.py
+++ b/packages/calls/src/acaciayard_calls/_intake.py
@@ -90,7 +90,7 @@
     origin: bytes = b""
     #: Largest body in bytes that is buffered, so that the call can be offered to a second host.
     max_buffered_body: int = LARGEST_WHOLE_BODY
-    #: Whether bodies of unknown length are buffered as well, up to that size.
+    #: Whether bodies of unknown length are buffered as well; the rest of larger ones is streamed.
     buffers_chunked: bool = False
     #: Seconds within which the head of a request must be complete once it was begun.
     head_for: float = 75.0
@@ -143,7 +143,10 @@
 
 
 def is_buffered(head: RequestHead, context: EntryContext) -> bool:
-    """Whether the body of a request is buffered before the call is made."""
+    """Whether the body of a request is buffered before the call is made, or begins to be.
+
+    One of unknown length that turns out to be larger than what is buffered is streamed from there.
+    """
     length = length_of(head)
     if length == UNKNOWN_LENGTH:
         return context.buffers_chunked
@@ -157,20 +160,19 @@
     identity: Identity,
     *,
     started: float,
-    body: bytes,
+    body: bytes | None,
     start_by: float,
 ) -> Call:
-    """Create the call of a request; `body` is the complete body if that is buffered."""
+    """Create the call of a request; `body` is the complete body, `None` if it is streamed."""
     dialect = context.dialect
-    is_whole = is_buffered(head, context)
     return Call(
         service=plan.service.name,
         method=head.method,
         target=head.target,
         fields=_fields_of(head, context, identity),
-        body=body,
-        is_whole=is_whole,
-        length=len(body) if is_whole else length_of(head),
+        body=body or b"",
+        is_whole=body is not None,
+        length=len(body) if body is not None else length_of(head),
         priority=plan.priority,
         deadline=deadline_of(head, plan, context, started=started),
         start_by=start_by,
--- a/packages/calls/src/acaciayard_calls/_request_runs.py
+++ b/packages/calls/src/acaciayard_calls/_request_runs.py
@@ -29,7 +29,7 @@
     first_header,
 )
 from acaciayard_routing import Plan, Router
-from acaciayard_wire import ByteStream, HeldBody, StreamLostError
+from acaciayard_wire import ByteStream, StreamLostError
 
 from ._answers import AnswerCutError, AnswerWriter
 from ._attempt import Answered, Attempt
@@ -39,13 +39,13 @@
 from ._intake import (
     EntryContext,
     call_of,
-    deadline_of,
     is_buffered,
     number_in,
     plan_for,
     requested_timeout,
 )
 from ._refusals import RejectedError
+from ._request_bodies import BodyReceiver, ReceivedBody
 from ._turns import CallerRequest, RequestPipeline
 from ._waits import nested, start_by
 
@@ -53,14 +53,9 @@
 
 #: Header field of a stored response to an earlier call with the same idempotency key.
 REPLAYED: Final = b"x-replayed: true\r\n"
-#: Longest time in seconds for which a body may stand still, whatever its route allows; a slow or
-#: lossy link delays a part of it by about a second.
-_MAX_STILL_S: Final = 5.0
 #: Statuses that say that a request did not run, and that are therefore not given to one whose head
 #: a target has.
 _NOT_RUN_STATUSES: Final = frozenset({408, 413})
-#: Refusal of a request for whose body this process has no room, with seconds until a retry.
-_NO_ROOM: Final = NotRun("too many bodies arrive at this daemon", 0.1, is_overload=True)
 
 
 @frozen
@@ -97,6 +92,7 @@
         self._reader = parts.reader
         self._pipeline = parts.pipeline
         self._answers = parts.answers
+        self._bodies = BodyReceiver(parts.stream, parts.reader, context)
 
     async def run(self, request: CallerRequest) -> None:
         """Run a request and send its response after those of earlier requests.
@@ -174,19 +170,28 @@
         if route.key_required and not key:
             raise RejectedError(400, NotRun("this route needs an Idempotency-Key header", 60.0))
         is_keyed = bool(key) and not route.idempotent and self._context.claimer is not None
-        is_body_buffered = not request.body_unread or is_buffered(head, self._context)
-        if is_keyed and not is_body_buffered:
-            reason = f"a call with a key needs a Content-Length up to {LARGEST_WHOLE_BODY}"
-            raise RejectedError(413, NotRun(reason, 60.0))
-        if not (is_body_buffered and request.body_unread):
-            return await self._run_with_body(request, plan, router, identity, b"", key, is_keyed)
-        held = self._context.bodies.open()
+        if not request.body_unread:
+            return await self._run_with_body(
+                request, plan, router, identity, ReceivedBody(), key, is_keyed
+            )
+        if not is_buffered(head, self._context):
+            if is_keyed:
+                raise _keyed_too_large()
+            received = ReceivedBody(is_whole=False)
+            return await self._run_with_body(
+                request, plan, router, identity, received, key, is_keyed
+            )
+        received = ReceivedBody(held=self._context.bodies.open())
         try:
-            body = await self._read_body(request, plan, held)
+            await self._bodies.receive(request, plan, received)
+            if is_keyed and not received.is_whole:
+                raise _keyed_too_large()
             check_grace(request, plan, self._context, identity)  # the body may have taken long
-            return await self._run_with_body(request, plan, router, identity, body, key, is_keyed)
+            return await self._run_with_body(
+                request, plan, router, identity, received, key, is_keyed
+            )
         finally:
-            held.release()
+            received.release()
 
     async def _run_with_body(
         self,
@@ -194,11 +199,11 @@
         plan: Plan,
         router: Router,
         identity: Identity,
-        body: bytes,
+        received: ReceivedBody,
         key: bytes,
         is_keyed: bool,
     ) -> bool:
-        """Run a call whose body was read, unless it is streamed."""
+        """Run a call whose body was received, unless it is streamed."""
         head = request.head
         targets = self._context.targets
         parent = None
@@ -210,7 +215,7 @@
             self._context,
             identity,
             started=request.started,
-            body=body,
+            body=received.take_all() if received.is_whole else None,
             start_by=self._start_by(request, plan) if parent is None else math.inf,
         )
         if parent is not None:
@@ -218,7 +223,7 @@
             call = nested(call, parent, is_full=targets.is_full(parent.service))
             targets.nested_calls.note_nested(parent, call.service)
         if not call.is_whole:
-            return await self._run_streaming(request, call, plan, router)
+            return await self._run_streaming(request, call, plan, router, received)
         claimer = self._context.claimer
         if is_keyed and claimer is not None:
             return await self._run_keyed(request, call, plan, router, key, claimer)
@@ -236,54 +241,6 @@
             request.ended.age_ms = round((started - first_sent) * 1000, 1)
         return start_by(plan, first_sent)
 
-    async def _read_body(self, request: CallerRequest, plan: Plan, held: HeldBody) -> bytes:
-        """Read a body completely; raises `HttpError` or `RejectedError` if that is not possible."""
-        if request.head.expects_continue:
-            await self._stream.send(CONTINUE)
-        deadline = deadline_of(request.head, plan, self._context, started=request.started)
-        parts: list[bytes] = []
-        try:
-            with self._timers.timeout(deadline - self._timers.now()) as scope:
-                held.on_dropped = scope.cancel
-                await self._read_parts(request, plan, held, parts)
-                if not held.is_dropped:
-                    held.complete()
-                    return b"".join(parts)
-        finally:
-            parts.clear()  # the traceback of an error outlives the room that was held
-        if held.is_dropped:
-            raise HttpError(408, "the body stood still, and its room was needed")
-        raise HttpError(408, "the body was not complete before the deadline of its call")
-
-    async def _read_parts(
-        self, request: CallerRequest, plan: Plan, held: HeldBody, parts: list[bytes]
-    ) -> None:
-        limit = self._context.max_buffered_body
-        while True:
-            match await self._next_part(request, plan):
-                case BodyPart(data):
-                    if held.size + len(data) > limit:
-                        raise HttpError(413, f"a body without a length may have {limit} bytes")
-                    if not held.grow(len(data)):
-                        raise RejectedError(503, self._no_room(request, plan))
-                    parts.append(data)
-                case End():
-                    return
-
-    def _no_room(self, request: CallerRequest, plan: Plan) -> NotRun:
-        deadline = deadline_of(request.head, plan, self._context, started=request.started)
-        return self._context.dispatcher.spread_retry(_NO_ROOM, deadline)
-
-    async def _next_part(self, request: CallerRequest, plan: Plan) -> BodyPart | End:
-        """The next bytes of the request's body."""
-        still = min(plan.timeout.idle_s, _MAX_STILL_S)
-        with self._timers.timeout(still):
-            part = await self._reader.next_part()
-            if isinstance(part, End):
-                request.body_unread = False
-            return part
-        raise HttpError(408, f"the body stood still for {still:g} s")
-
     # --- buffered bodies ----------------------------------------------------------------------
 
     async def _run_buffered(
@@ -429,17 +386,22 @@
     # --- streamed bodies ----------------------------------------------------------------------
 
     async def _run_streaming(
-        self, request: CallerRequest, call: Call, plan: Plan, router: Router
+        self,
+        request: CallerRequest,
+        call: Call,
+        plan: Plan,
+        router: Router,
+        received: ReceivedBody,
     ) -> bool:
         admitted = await self._context.dispatcher.admit(call, plan, router)
         if not isinstance(admitted, Attempt):
             return await self._finish(request, call, plan, admitted)
         request.is_handed_over = True
         try:
-            if request.head.expects_continue:
+            if request.head.expects_continue and received.is_empty:
                 await self._stream.send(CONTINUE)
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._pump_body, request, admitted, plan)
+                tasks.start_soon(self._pump_body, request, admitted, plan, received)
                 answered = await self._answer_streaming(request, call, plan, admitted)
                 tasks.cancel_scope.cancel()
             return answered
@@ -458,11 +420,19 @@
             return await self._finish(request, call, plan, Answered(outcome, attempt))
         return await self._finish(request, call, plan, outcome)
 
-    async def _pump_body(self, request: CallerRequest, attempt: Attempt, plan: Plan) -> None:
+    async def _pump_body(
+        self, request: CallerRequest, attempt: Attempt, plan: Plan, received: ReceivedBody
+    ) -> None:
         """Forward the request body; if the target is lost, its response reports that."""
+        try:
+            while data := received.take():
+                await attempt.exchange.send_part(data)
+        except StreamLostError:
+            return
+        received.release()
         while True:
             try:
-                part = await self._next_part(request, plan)
+                part = await self._bodies.next_part(request, plan)
             except HttpError as error:
                 if error.status in _NOT_RUN_STATUSES:
                     raise HttpError(504, error.reason) from error
@@ -478,6 +448,11 @@
                 return
 
 
+def _keyed_too_large() -> RejectedError:
+    reason = f"a call with a key needs a Content-Length up to {LARGEST_WHOLE_BODY}"
+    return RejectedError(413, NotRun(reason, 60.0))
+
+
 def _may_run_concurrently(head: RequestHead, plan: Plan) -> bool:
     """Whether a request may run concurrently with earlier ones of its connection.
 
--- a/packages/calls/tests/test_bodies.py
+++ b/packages/calls/tests/test_bodies.py
@@ -13,15 +13,19 @@
 
 from acaciayard_callmodel import CallWatch, NotRun, OutcomeUnknown
 from acaciayard_calls import Answered, EntryServer, ServiceLevels
-from acaciayard_http1 import RequestHead
+from acaciayard_http1 import BodyPart, Limits, RequestHead, RequestReader
 from acaciayard_resources import Resource, Route, Service, TimeoutPolicy
-from acaciayard_wire import ByteStream
+from acaciayard_wire import ByteStream, StreamLostError
 
 #: Longest wait for an answer.
 ANSWER_TIMEOUT_S = 5.0
 #: Time for which a body stands still before others come.
 STILL_S = 0.4
 LARGE = 3_900_000
+#: Bytes of a body that are buffered, and of a chunk.
+BUFFERED = 4 * 1024 * 1024
+CHUNK_BYTES = 64 * 1024
+CHUNKED_HEAD = b"POST /x HTTP/1.1\r\nhost: h\r\nx-request: r\r\ntransfer-encoding: chunked\r\n\r\n"
 ROUTES: tuple[Resource, ...] = (
     Service(name="a"),
     Route(name="all", service="a", path="/", idempotent=True),
@@ -36,6 +40,22 @@
     )
 
 
+class ReadingTarget(ScriptedTarget):
+    """A target that answers a request once it has read its body, and keeps that."""
+
+    received = b""
+
+    async def _serve(self, stream: ByteStream) -> None:
+        reader = RequestReader(stream, Limits())
+        with contextlib.suppress(StreamLostError):
+            head = await reader.next_head()
+            assert head is not None
+            self.request_heads.append(head)
+            while isinstance(part := await reader.next_part(), BodyPart):
+                self.received += part.data
+            await self.script(head, stream)
+
+
 @frozen
 class BodyScene:
     """An entry with a target on its host."""
@@ -92,7 +112,13 @@
 SceneBody = Callable[[BodyScene], Awaitable[None]]
 
 
-def run_scene(body: SceneBody, *, routes: tuple[Resource, ...] = ROUTES, slots: int = 4) -> None:
+def run_scene(
+    body: SceneBody,
+    *,
+    routes: tuple[Resource, ...] = ROUTES,
+    slots: int = 4,
+    target_type: type[ScriptedTarget] = ScriptedTarget,
+) -> None:
     """Runs the body of a test over real sockets."""
 
     async def respond(request: RequestHead, stream: ByteStream) -> None:
@@ -100,7 +126,7 @@
 
     async def run() -> None:
         async with anyio.create_task_group() as tasks:
-            target = ScriptedTarget(respond)
+            target = target_type(respond)
             host = Host("near", target)
             await host.open(tasks, slots=slots)
             harness = CallHarness(host, [], tasks)
@@ -114,7 +140,8 @@
                 bodies=host.bodies,
                 not_serving=lambda: "",
                 dialect=DIALECT,
-                max_buffered_body=4 * 1024 * 1024,
+                max_buffered_body=BUFFERED,
+                buffers_chunked=True,
             )
             entry.use(router(*routes).configuration)
             await entry.open(IP, 0, tasks)
@@ -167,6 +194,46 @@
         run_scene(body)
 
 
+class ChunkedBodyTest(unittest.TestCase):
+    # Guards against a body in chunks that is refused since it is larger than what is buffered.
+    def test_a_body_larger_than_what_is_buffered_is_streamed(self) -> None:
+        async def body(scene: BodyScene) -> None:
+            target = scene.target
+            assert isinstance(target, ReadingTarget)
+            stream = await scene.connect()
+            pieces = [
+                bytes([number]) * CHUNK_BYTES for number in range(BUFFERED // CHUNK_BYTES + 4)
+            ]
+            await stream.send(CHUNKED_HEAD)
+            for piece in pieces[:-1]:
+                await stream.send(b"%x\r\n%s\r\n" % (CHUNK_BYTES, piece))
+            await eventually(lambda: len(target.received) > BUFFERED)
+            self.assertEqual(scene.host.bodies.held, 0)
+            await stream.send(b"%x\r\n%s\r\n0\r\n\r\n" % (CHUNK_BYTES, pieces[-1]))
+            data = await read_answer(stream)
+            self.assertTrue(data.startswith(b"HTTP/1.1 200 "), data[:200])
+            self.assertEqual(target.received, b"".join(pieces))
+
+        run_scene(body, target_type=ReadingTarget)
+
+    # Guards against a target that gets the beginning of a body for which there is no room.
+    def test_a_body_without_room_is_not_run(self) -> None:
+        async def body(scene: BodyScene) -> None:
+            incomplete = await scene.send_incomplete(LARGE)
+            stream = await scene.connect()
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await stream.send(CHUNKED_HEAD)
+                for _ in range(BUFFERED // CHUNK_BYTES + 4):
+                    await stream.send(b"%x\r\n%s\r\n" % (CHUNK_BYTES, bytes(CHUNK_BYTES)))
+            data = await read_answer(stream)
+            self.assertTrue(data.startswith(b"HTTP/1.1 503 "), data[:200])
+            self.assertIn(b"x-outcome: not_run", data)
+            self.assertEqual(scene.target.request_heads, [])
+            await incomplete.aclose()
+
+        run_scene(body)
+
+
 class BodyTimeTest(unittest.TestCase):
     # Guards against bodies that are waited for after the deadline of their calls.
     def test_a_body_has_until_the_deadline_of_its_call(self) -> None:
