Requests are parsed one at a time, and bodies in small chunks in turns

Seen with 200 clients that send 2,000 small requests in one go: 307 MB of 128. Cause: all that was received was parsed at once. The heads of small requests take some ten times the memory of their bytes, and nothing counted them; up to 128 KB of a connection became up to 5,000 of them. A body in chunks of one byte was parsed in one go of up to 128 KB, without a turn for others. Change: the reader of requests takes 16 KB of heads at a time and parses up to the end of one head, or of one body; the rest stays in the buffers of the connection, which are bounded together. After 1,024 chunks or slices of a body other tasks have a turn; a body in small chunks, over 256 in a slice, is parsed by 8 KB. Ruled out: putting the rest back into the buffers of the connection, which copies it for each request.

--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -73,7 +73,12 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being served, read or answered."""
-        return not (self.running or self._reader.is_mid_head or self._stream.has_unread)
+        return not (self.running or self._reader.is_mid_head or self._has_unread)
+
+    @property
+    def _has_unread(self) -> bool:
+        """Whether bytes of further requests were received, or an error behind the last one."""
+        return self._stream.has_unread or self._reader.has_pending
 
     @property
     def idle_since(self) -> float:
@@ -183,7 +188,7 @@
             or not self._pipeline.may_read_ahead
         ):
             return
-        if self._stream.has_unread or self._reader.has_pending:
+        if self._has_unread:
             self._is_reading = True
             self._extra_readers += 1
             tasks.start_soon(self._run_extra_reader)
--- a/packages/http1/src/acaciayard_http1/_reader.py
+++ b/packages/http1/src/acaciayard_http1/_reader.py
@@ -38,6 +38,15 @@
 #: Number of bytes kept of what was parsed: enough for the beginning of a status line, and to see
 #: whether a chunked body ends with one blank line.
 _TAIL_BYTES: Final = 16
+#: Most bytes of requests taken from a connection at a time: of heads, and of a body in chunks.  The
+#: others stay in its buffers, which are bounded together with those of other connections.
+_HEAD_SLICE_BYTES: Final = 16 * 1024
+_CHUNKED_SLICE_BYTES: Final = 32 * 1024
+#: The same of a body in small chunks, and how many of them a slice has.
+_SMALL_CHUNKS_SLICE_BYTES: Final = 8 * 1024
+_SMALL_CHUNKS: Final = 256
+#: Chunks and slices that are parsed before other connections have a turn.
+_TURN_STEPS: Final = 1024
 #: Shared by all messages without trailers, which nearly all messages are.
 _END_WITHOUT_TRAILERS: Final = End()
 
@@ -61,6 +70,8 @@
         self._parts: list[bytes] = []
         #: Called for each chunk of a body, which may be a single byte.
         self.on_body: Callable[[bytes], None] = self._parts.append
+        #: Number of chunks of a body that were queued last.
+        self.chunks = 0
         self._reset()
 
     def _reset(self) -> None:
@@ -100,6 +111,7 @@
     def queue_body(self) -> None:
         """Queue the bytes of the body received since the last time as one part."""
         parts = self._parts
+        self.chunks = len(parts)
         if not parts:
             return
         data = parts[0] if len(parts) == 1 else b"".join(parts)
@@ -139,11 +151,14 @@
 class _RequestCollector(_Collector):
     parser: httptools.HttpRequestParser
 
+    #: Framing of the body behind the head that was received last.
+    body_framing = Framing.NONE
+
     def head(self) -> RequestHead:
         if self.parser.should_upgrade():
             raise HttpError(501, "protocol upgrades are not supported")
         headers: Headers = tuple(self._headers)
-        framing = self.framing()
+        framing = self.body_framing = self.framing()
         # An expectation has no effect on a request without a body.
         expect_header = first_header(headers, b"expect") if framing is not Framing.NONE else b""
         return RequestHead(
@@ -224,7 +239,7 @@
         while not events:
             if self._parse_error is not None:
                 raise self._parse_error
-            data = await self._stream.receive()
+            data = await self._receive()
             if not data:
                 return self._on_eof()
             try:
@@ -238,6 +253,10 @@
                 self._parse_error = HttpError(431, f"a head or its like is over {limit} bytes")
         return events.popleft()
 
+    async def _receive(self) -> bytes:
+        """Return the bytes to parse next; empty if the other end has closed."""
+        return await self._stream.receive()
+
     def _feed(self, data: bytes) -> None:
         try:
             self._parse(data)
@@ -262,6 +281,10 @@
 class RequestReader(_Reader):
     """Reads consecutive requests from the connection of a caller.
 
+    Only the bytes of one request are parsed at a time, since the heads of small requests take many
+    times the memory of their bytes.  A body in small chunks is parsed in slices, between which
+    other connections have their turns.
+
     Example:
 
         head = await reader.next_head()
@@ -273,8 +296,62 @@
         super().__init__(stream, limits)
         collector = _RequestCollector(limits)
         collector.parser = httptools.HttpRequestParser(collector)
-        self._collector = collector
+        self._collector = self._requests = collector
         self._parser = collector.parser
+        #: Bytes that were received and not parsed.
+        self._rest = b""
+        #: Bytes of a sized body that were not parsed.
+        self._body_left = 0
+        #: Chunks and slices of bodies that were parsed since other connections had a turn.
+        self._steps = 0
+
+    @property
+    def has_pending(self) -> bool:
+        return bool(self._rest) or super().has_pending
+
+    async def _receive(self) -> bytes:
+        if self._is_mid_message:
+            return await self._receive_body()
+        data = self._take_rest() or await self._stream.receive(_HEAD_SLICE_BYTES)
+        end = data.find(_HEAD_END) + len(_HEAD_END)
+        if len(_HEAD_END) <= end < len(data):
+            self._rest = data[end:]
+            return data[:end]
+        return data
+
+    def _take_rest(self) -> bytes:
+        rest, self._rest = self._rest, b""
+        return rest
+
+    async def _receive_body(self) -> bytes:
+        chunks = self._requests.chunks
+        self._steps += 1 + chunks
+        if self._steps > _TURN_STEPS:
+            self._steps = 0
+            await self._stream.yield_turn()
+        if self._requests.body_framing is Framing.CHUNKED:
+            has_small_chunks = chunks > _SMALL_CHUNKS
+            limit = _SMALL_CHUNKS_SLICE_BYTES if has_small_chunks else _CHUNKED_SLICE_BYTES
+            return self._take_rest() or await self._stream.receive(limit)
+        left = self._body_left
+        data = self._take_rest() or await self._stream.receive(left)
+        self._rest = data[left:]
+        data = data[:left]
+        self._body_left -= len(data)
+        return data
+
+    def _parse(self, data: bytes) -> None:
+        if not self._is_mid_message or self._requests.body_framing is not Framing.CHUNKED:
+            super()._parse(data)
+            return
+        start = 0
+        events = self._requests.events
+        while start < len(data) and not events:  # a body in chunks ends like a head
+            at = data.find(_HEAD_END, start)
+            end = at + len(_HEAD_END) if at >= 0 else len(data)
+            super()._parse(data[start:end])
+            start = end
+        self._rest = data[start:]
 
     async def next_head(self) -> RequestHead | None:
         """Return the head of the next request, or `None` if the caller closed between requests.
@@ -282,10 +359,12 @@
         Raises `HttpError` if the request is rejected and `StreamLostError` if it is truncated.
         """
         self._is_mid_message = False
-        head = await self._next_event()
+        head: RequestHead | None = await self._next_event()
         if head is not None:
             self._is_mid_message = True
-        return head  # type: ignore[no-any-return]
+            if head.framing is Framing.SIZED:
+                self._body_left = length_of(head)
+        return head
 
     async def next_part(self) -> BodyPart | End:
         """Return the next part of the body, or its end."""
--- a/packages/http1/tests/test_http1.py
+++ b/packages/http1/tests/test_http1.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import sys
+import tracemalloc
 import unittest
 from typing import Any
 
@@ -32,8 +34,14 @@
     def __init__(self, *pieces: bytes) -> None:
         self._pieces = list(pieces)
 
-    async def receive(self) -> bytes:
-        return self._pieces.pop(0) if self._pieces else b""
+    async def receive(self, limit: int = sys.maxsize) -> bytes:
+        piece = self._pieces.pop(0) if self._pieces else b""
+        if len(piece) > limit:
+            self._pieces.insert(0, piece[limit:])
+        return piece[:limit]
+
+    async def yield_turn(self) -> None:
+        """Do nothing, as no other task runs."""
 
 
 async def read_requests(*pieces: bytes, limits: Limits) -> list[Any]:
@@ -149,6 +157,38 @@
                 self.assertEqual(body, b"abcde")
                 self.assertEqual(events[-1], End(((b"x-sum", b"9"),)))
 
+    # Guards against the memory of many small requests that a caller sends together.
+    def test_requests_received_together_are_parsed_one_at_a_time(self) -> None:
+        count = 2_000
+        data = (b"GET / HTTP/1.1\r\n" + HOST_FIELD + b"\r\n") * count
+
+        async def run() -> int:
+            reader = RequestReader(FakeStream(data), Limits())  # type: ignore[arg-type]
+            tracemalloc.start()
+            try:
+                heads = 0
+                while await reader.next_head() is not None:
+                    heads += 1
+                    self.assertTrue(reader.take_end())
+                    self.assertLess(tracemalloc.get_traced_memory()[0], 2 * len(data))
+                return heads
+            finally:
+                tracemalloc.stop()
+
+        self.assertEqual(anyio.run(run), count)
+
+    # Guards against bodies whose end is missed, or whose parts are many since they look like ends.
+    def test_body_with_many_blank_lines(self) -> None:
+        body = b"\r\n\r\n" * 2_000
+        head = b"PUT / HTTP/1.1\r\n" + HOST_FIELD + b"Transfer-Encoding: chunked\r\n\r\n"
+        data = (
+            head + chunk(body) + last_chunk(()) + b"GET /next HTTP/1.1\r\n" + HOST_FIELD + b"\r\n"
+        )
+        events = parse_requests(data)
+        self.assertEqual([type(each) for each in events[:3]], [RequestHead, bytes, End])
+        self.assertEqual(events[1], body)
+        self.assertEqual(events[3].target, b"/next")
+
     def test_truncated_request(self) -> None:
         for data in (b"GET / HT", b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na"):
             with self.subTest(data):
--- a/packages/wire/src/acaciayard_wire/_stream.py
+++ b/packages/wire/src/acaciayard_wire/_stream.py
@@ -116,10 +116,12 @@
             self._read_paused = True
 
     def _note_read(self) -> None:
-        """Handle that many bytes were unread and have been read."""
-        if self._read_paused and self._transport is not None and not self._lost:
-            self._transport.resume_reading()
+        """Handle that many bytes were unread and some of them have been read."""
+        if not self._read_paused or self._buffered > self._read_high_water:
+            return
         self._read_paused = False
+        if self._transport is not None and not self._lost:
+            self._transport.resume_reading()
 
     def eof_received(self) -> bool:
         self._ended = True
@@ -197,8 +199,11 @@
         """
         self._on_data = callback
 
-    async def receive(self) -> bytes:
-        """All buffered bytes, waiting for at least one; empty if the other end has closed."""
+    async def receive(self, limit: int = sys.maxsize) -> bytes:
+        """All buffered bytes up to a limit, waiting for at least one.
+
+        Empty if the other end has closed.
+        """
         while not self._chunks:
             if self._ended:
                 return b""
@@ -207,16 +212,28 @@
                 await self._reader
             finally:
                 self._reader = None
-        return self._pop_chunks()
+        return self._pop_chunks(limit)
 
-    def _pop_chunks(self) -> bytes:
-        data = self._chunks.popleft() if len(self._chunks) == 1 else b"".join(self._chunks)
-        self._chunks.clear()
-        count, self._buffered = self._buffered, 0
+    def _pop_chunks(self, limit: int) -> bytes:
+        count = self._buffered
+        if count > limit:
+            data = self._pop_some(limit)
+        else:
+            data = self._chunks.popleft() if len(self._chunks) == 1 else b"".join(self._chunks)
+            self._chunks.clear()
+        self._buffered -= len(data)
         if count > self._noted_unread:
             self._note_read()
         return data
 
+    def _pop_some(self, limit: int) -> bytes:
+        """Take bytes of the first chunk alone."""
+        data = self._chunks.popleft()
+        if len(data) > limit:
+            self._chunks.appendleft(data[limit:])
+            data = data[:limit]
+        return data
+
     def hold(self, count: int) -> None:
         """Note that `count` bytes of messages are held for the connection outside of its buffers.
 
@@ -233,6 +250,11 @@
             self._traffic.sent(self._purpose, len(data), self._peer_ip)
         self._transport.write(data)
 
+    @staticmethod
+    async def yield_turn() -> None:
+        """Let other tasks run; for one that has much to do without waiting."""
+        await asyncio.sleep(0)
+
     async def send(self, data: bytes) -> None:
         """Write `data` and wait while the write buffer is full; raises `StreamLostError`."""
         self.send_nowait(data)
