A connection whose requests are refused at once gives others a turn

Callers saw: beside 200 clients that send 2,000 requests for no route in one go, GET was not answered in 6 of 6 tries. Cause: a request that is refused waits for nothing, and neither does the next one if it is there already, so that one connection had the processor until all that it had sent was answered. Change: behind each request, if more are there, other tasks have a turn.

--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -164,6 +164,8 @@
                 if self._is_reading or self._pipeline.first is not None:
                     self._read_ahead()
                     return
+                if self._has_unread:
+                    await self._stream.yield_turn()  # one that was refused may not have waited
             self._stream.close()
         except* HttpError as group:
             await self._send_error(group, request)
