Timeouts beyond the time of a route count as that time in the estimate of first requests

Callers saw: beside 40 clients with timeouts of 30 s, ordinary requests with 2 s, as long as the route allows, were refused in 6 of 6 tries. Cause: a request with a shorter timeout than others counts as a retry, first sent as much earlier. Here it counted as 28 s old (age_ms in its line), and an old request is admitted only if a slot is free and nobody waits. Change: a timeout counts as the time of the route at most, as nobody is kept waiting longer. Ruled out: the same only until 50 first requests are known; one burst of a pipelining client fills these.

--- a/packages/calls/src/acaciayard_calls/_first_asked.py
+++ b/packages/calls/src/acaciayard_calls/_first_asked.py
@@ -88,21 +88,25 @@
     calls of the lowest class that met their goal from 34 to 66 in 100 (`test_overload`).
 
     Example:
-        estimator.of("quotes", timeout=0.7)     # 0.3 s ago, if first requests have 1.0 s
+        estimator.of("quotes", timeout=0.7, longest=2.0)    # 0.3 s ago, if first ones have 1.0 s
     """
 
     def __init__(self, timers: TimerService) -> None:
         self._timers = timers
         self._routes: dict[str, _RouteStatistics] = {}
 
-    def of(self, route: str, *, timeout: float) -> float:
+    def of(self, route: str, *, timeout: float, longest: float) -> float:
         """When the caller of a call first sent it, on the clock of the timer service.
 
         `timeout` is the number of seconds that the caller will still wait, 0 if it did not say.
+        `longest` is how long it is kept waiting at most.  A longer timeout counts as that: a few
+        callers with very long ones would make the requests of all others look like retries, for
+        which no call waits.
         """
         now = self._timers.now()
         if timeout <= 0:
             return now
+        timeout = min(timeout, longest)
         statistics = self._statistics_of(route)
         if statistics.note(timeout, now):
             return now
--- a/packages/calls/src/acaciayard_calls/_request_runs.py
+++ b/packages/calls/src/acaciayard_calls/_request_runs.py
@@ -235,7 +235,9 @@
         caller_timeout = requested_timeout(request.head, self._context)
         first_sent = min(
             started,
-            self._context.first_request_estimator.of(plan.route.name, timeout=caller_timeout),
+            self._context.first_request_estimator.of(
+                plan.route.name, timeout=caller_timeout, longest=plan.timeout.total_s
+            ),
         )
         if first_sent < started:
             request.ended.age_ms = round((started - first_sent) * 1000, 1)
--- a/packages/calls/tests/ablation.py
+++ b/packages/calls/tests/ablation.py
@@ -40,7 +40,7 @@
     disable: Callable[[], contextlib.AbstractContextManager[Any]]
 
 
-def _treat_as_first(self: FirstRequestEstimator, _route: str, *, timeout: float) -> float:
+def _treat_as_first(self: FirstRequestEstimator, _route: str, **_: float) -> float:
     return self._timers.now()
 
 
--- a/packages/calls/tests/load_model.py
+++ b/packages/calls/tests/load_model.py
@@ -194,7 +194,11 @@
         plan = mesh.router.match(host="h", path=f"/{call_class.name}", method="GET")
         assert plan is not None
         first_sent = (
-            now if parent is not None else self.first_asked.of(plan.route.name, timeout=remaining)
+            now
+            if parent is not None
+            else self.first_asked.of(
+                plan.route.name, timeout=remaining, longest=plan.timeout.total_s
+            )
         )
         call = Call(
             service=call_class.service,
--- a/packages/calls/tests/test_first_asked.py
+++ b/packages/calls/tests/test_first_asked.py
@@ -11,6 +11,8 @@
 
 #: Deadlines of first calls in seconds; they differ between callers by up to a sixth.
 FIRST_DEADLINES = (0.85, 0.88, 0.91, 0.94, 0.97, 1.0)
+#: Seconds for which a route keeps its callers waiting at most.
+LONGEST = 4000.0
 
 
 class FirstAskedTest(unittest.TestCase):
@@ -19,7 +21,8 @@
         self.first_asked = FirstRequestEstimator(self.timers)
 
     def age(self, deadline: float, route: str = "r") -> float:
-        return self.timers.now() - self.first_asked.of(route, timeout=deadline)
+        first_sent = self.first_asked.of(route, timeout=deadline, longest=LONGEST)
+        return self.timers.now() - first_sent
 
     def advance(self, seconds: float) -> None:
         anyio.run(self.timers.advance, seconds)
@@ -63,6 +66,18 @@
         self.assertEqual(self.age(0.9), 0)
         self.assertGreater(self.age(0.64), 0.2)
 
+    # Guards against many callers with long deadlines, beside which no others may wait.
+    def test_long_deadlines_count_as_what_the_route_allows(self) -> None:
+        def age(deadline: float) -> float:
+            first_sent = self.first_asked.of("r", timeout=deadline, longest=2.0)
+            return self.timers.now() - first_sent
+
+        for _ in range(200):
+            self.assertEqual(age(30.0), 0)
+        self.first_asked.note_failure("r")
+        self.assertEqual(age(2.0), 0)
+        self.assertAlmostEqual(age(1.5), 0.5, places=6)
+
     def test_on_a_new_route_a_deadline_shorter_by_a_fifth_is_a_retry(self) -> None:
         self.first_asked.note_failure("r")
         self.assertEqual(self.age(1.0), 0)
