The calls of callers in progress have a bound, by the descriptors of the process

Cause: the connections of callers had a bound, and the calls that they make did not; each call may open a stream to another daemon, and up to four of a connection run at a time. Change: an eighth of the descriptors, at least 2, are calls in progress; one beyond them is refused at once, not run. Half is for further requests of a connection and for backlogged connections. Nested calls are counted and not refused.

--- a/packages/calls/src/acaciayard_calls/_entry.py
+++ b/packages/calls/src/acaciayard_calls/_entry.py
@@ -41,7 +41,7 @@
 
 from ._caller import CallerConnection
 from ._claimer import Claimer
-from ._connection_limits import ConnectionLimits
+from ._connection_limits import CallsInProgress, ConnectionLimits
 from ._dispatcher import Dispatcher
 from ._first_asked import FirstRequestEstimator
 from ._intake import EntryContext
@@ -103,6 +103,7 @@
             buffers_chunked=buffers_chunked,
             events=events,
             caps=caps,
+            calls=CallsInProgress(connection_limits.calls),
         )
         self._connections: set[CallerConnection] = set()
         self._connection_limits = connection_limits
--- a/packages/calls/src/acaciayard_calls/_intake.py
+++ b/packages/calls/src/acaciayard_calls/_intake.py
@@ -35,6 +35,7 @@
 from acaciayard_wire import BodyBudget
 
 from ._claimer import Claimer
+from ._connection_limits import CallsInProgress, ConnectionLimits
 from ._dispatcher import Dispatcher
 from ._first_asked import FirstRequestEstimator
 from ._identity import Identity
@@ -106,6 +107,8 @@
     is_refusing: bool = False
     #: Number of requests served.
     served: int = 0
+    #: The calls in progress.
+    calls: CallsInProgress = field(factory=lambda: CallsInProgress(ConnectionLimits().calls))
     #: Runs requests concurrently with earlier ones of their connection; `None` to run them in
     #: sequence.
     tasks: anyio.abc.TaskGroup | None = None
--- a/packages/calls/src/acaciayard_calls/_request_runs.py
+++ b/packages/calls/src/acaciayard_calls/_request_runs.py
@@ -39,6 +39,7 @@
 from ._intake import (
     EntryContext,
     call_of,
+    deadline_of,
     is_buffered,
     number_in,
     plan_for,
@@ -56,6 +57,8 @@
 #: Statuses that say that a request did not run, and that are therefore not given to one whose head
 #: a target has.
 _NOT_RUN_STATUSES: Final = frozenset({408, 413})
+#: Refusal of a call beyond those that may be in progress, with seconds until a retry.
+_TOO_MANY_CALLS: Final = NotRun("too many calls are in progress here", 0.1, is_overload=True)
 
 
 @frozen
@@ -204,13 +207,39 @@
         is_keyed: bool,
     ) -> bool:
         """Run a call whose body was received, unless it is streamed."""
-        head = request.head
         targets = self._context.targets
-        parent = None
         if identity.may_be_nested:
-            parent = targets.parent_of(request.ended.request_id.encode("latin-1"))
+            request.parent = targets.parent_of(request.ended.request_id.encode("latin-1"))
+        self._enter(request, plan)
+        try:
+            call = self._call_of(request, plan, identity, received)
+            if not call.is_whole:
+                return await self._run_streaming(request, call, plan, router, received)
+            claimer = self._context.claimer
+            if is_keyed and claimer is not None:
+                return await self._run_keyed(request, call, plan, router, key, claimer)
+            return await self._run_buffered(request, call, plan, router)
+        finally:
+            self._context.calls.leave()
+
+    def _enter(self, request: CallerRequest, plan: Plan) -> None:
+        """Count a call; raises `RejectedError` if too many are in progress."""
+        calls = self._context.calls
+        if request.parent is not None:
+            calls.enter_nested()
+            return
+        is_further = request.is_backlogged or self._pipeline.first is not request
+        if not calls.enter(is_further=is_further):
+            deadline = deadline_of(request.head, plan, self._context, started=request.started)
+            refusal = self._context.dispatcher.spread_retry(_TOO_MANY_CALLS, deadline)
+            raise RejectedError(503, refusal)
+
+    def _call_of(
+        self, request: CallerRequest, plan: Plan, identity: Identity, received: ReceivedBody
+    ) -> Call:
+        parent = request.parent
         call = call_of(
-            head,
+            request.head,
             plan,
             self._context,
             identity,
@@ -218,16 +247,11 @@
             body=received.take_all() if received.is_whole else None,
             start_by=self._start_by(request, plan) if parent is None else math.inf,
         )
-        if parent is not None:
-            request.parent = parent
-            call = nested(call, parent, is_full=targets.is_full(parent.service))
-            targets.nested_calls.note_nested(parent, call.service)
-        if not call.is_whole:
-            return await self._run_streaming(request, call, plan, router, received)
-        claimer = self._context.claimer
-        if is_keyed and claimer is not None:
-            return await self._run_keyed(request, call, plan, router, key, claimer)
-        return await self._run_buffered(request, call, plan, router)
+        if parent is None:
+            return call
+        targets = self._context.targets
+        targets.nested_calls.note_nested(parent, call.service)
+        return nested(call, parent, is_full=targets.is_full(parent.service))
 
     def _start_by(self, request: CallerRequest, plan: Plan) -> float:
         """Latest useful start of a caller's call, measured from its estimated first request."""
