Unsafe calls use no kept connection of a target that has sent bytes of no request

Callers saw: beside targets that answer twice, the second time whole and late, unsafe requests were answered 504, up to half. Cause: a response to another request gives its connection up, as where the next one begins is a guess; the call that was sent there has an unknown outcome. Each kept connection of such a target may hold the next one of these. Change: for 30 s after bytes that answered no request, an unsafe call gets a connection of its own there, on which nothing can be late. Safe calls are tried again and use kept ones as before. Ruled out: skipping a response that names another request, which guesses again where the own one begins.

--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -56,9 +56,6 @@
 #: Seconds without a response after which a kept connection counts as silent, once the call has
 #: ended.
 _SILENCE_SECONDS: Final = 0.5
-#: Maximum idle time of a connection that carries a call that must not run twice.  A target that
-#: drops idle connections would leave the outcome of such a call unknown.
-_MAX_UNSAFE_IDLE_SECONDS: Final = 1.0
 #: Timeout for connecting to a target on this host.
 _CONNECT_TIMEOUT_SECONDS: Final = 0.25
 #: Status of a response from another server, at the address that the target had before.
@@ -237,8 +234,7 @@
             if isinstance(entered, NotRun):
                 return entered
             self._slot = entered
-        max_idle_seconds = math.inf if self._call.is_idempotent else _MAX_UNSAFE_IDLE_SECONDS
-        self._connection = target.idle_connection(max_idle_seconds)
+        self._connection = target.idle_connection(is_idempotent=self._call.is_idempotent)
         if self._connection is not None:
             return None
         return await self._connect(target)
--- a/packages/admission/src/acaciayard_admission/_target.py
+++ b/packages/admission/src/acaciayard_admission/_target.py
@@ -38,6 +38,11 @@
 _IDLE_TIMEOUT_SECONDS: Final = 4.0
 #: Time before the end of the timeout that a target states from which its connection is not reused.
 _IDLE_MARGIN_SECONDS: Final = 0.5
+#: Maximum idle time of a connection that carries a call that must not run twice.  A target that
+#: drops idle connections would leave the outcome of such a call unknown.
+_MAX_UNSAFE_IDLE_SECONDS: Final = 1.0
+#: Time after bytes that answered no request for which such a call gets a connection of its own.
+_UNREQUESTED_MEMORY_SECONDS: Final = 30.0
 #: Divisor of the slots that gives those which streamed bodies may hold, one at least.
 _STREAM_SLOTS_DIVISOR: Final = 2
 #: Maximum number of idle connections to a target.
@@ -153,6 +158,7 @@
         self._blamed: frozenset[RunningCall] = frozenset()
         self._is_withdrawn = False
         self._streams = 0
+        self._unrequested_at = -math.inf
         self._notices = NoticeRecord()
         self.lease_until = 0.0
 
@@ -279,12 +285,21 @@
             slots = max(1, slots // _STARTING_SLOTS_DIVISOR)
         self._gate.resize(slots=slots, queue_length=queue_length)
 
-    def idle_connection(self, max_idle_seconds: float = math.inf) -> TargetConnection | None:
-        """Return an idle connection, or `None` if there is none.
+    def note_unrequested(self) -> None:
+        """Record that the target has sent bytes that answer no request."""
+        self._unrequested_at = self._timers.now()
 
-        `max_idle_seconds` is the maximum number of seconds for which it may have been idle.
+    def idle_connection(self, *, is_idempotent: bool) -> TargetConnection | None:
+        """Return an idle connection for a call, or `None` if there is none.
+
+        A target that has sent bytes which answer no request may send others late, on connections
+        that are clean so far.  They would leave the outcome of a call unknown, so that one which
+        must not run twice gets no connection of those.
         """
         now = self._timers.now()
+        max_idle_seconds = math.inf if is_idempotent else _MAX_UNSAFE_IDLE_SECONDS
+        if not is_idempotent and now - self._unrequested_at < _UNREQUESTED_MEMORY_SECONDS:
+            return None
         while self._idle:
             idle = self._idle.pop()
             idle_seconds = now - idle.idle_since
--- a/packages/admission/src/acaciayard_admission/_targets.py
+++ b/packages/admission/src/acaciayard_admission/_targets.py
@@ -382,6 +382,7 @@
     def note_unrequested(self, target: LocalTarget, place: UnrequestedBytes) -> None:
         """Record that a target has sent bytes that answer no request."""
         self._unrequested[(place.value,)] += 1
+        target.note_unrequested()
         start = target.announcement.start
         self._on_event(TargetEvent(start.name, start.born, "unrequested_bytes", place.value))
 
--- a/packages/calls/tests/test_target_answers.py
+++ b/packages/calls/tests/test_target_answers.py
@@ -105,6 +105,29 @@
 
         self.assertIsInstance(self.outcome_of(script), OutcomeUnknown)
 
+    # Guards against many calls of unknown outcome at a target that answers twice, the second time
+    # late, if their connections are used again.
+    def test_unsafe_calls_use_no_connection_of_a_target_that_answers_twice(self) -> None:
+        answered: dict[ByteStream, RequestHead] = {}
+
+        async def script(head: RequestHead, stream: ByteStream) -> None:
+            if stream in answered:
+                await stream.send(answer(answered[stream]))
+            answered[stream] = head
+            await stream.send(answer(head))
+
+        async def body(harness: CallHarness, target: ScriptedTarget, send_call: SendCall) -> None:
+            outcomes = []
+            for number in range(10):
+                request_id = b"r%d" % number
+                fields = b"host: h\r\nx-request: %s\r\n" % request_id
+                call = harness.call(request_id=request_id, fields=fields, is_idempotent=False)
+                outcomes.append(isinstance(await send_call(call), OutcomeUnknown))
+            self.assertEqual(outcomes.count(True), 1)
+            self.assertEqual(len(target.request_heads), 10)
+
+        self.run_target(script, body)
+
     # Guards against a response that is taken from behind one to another request, where it may begin
     # inside that one.
     def test_response_to_another_request_ends_its_connection(self) -> None:
