A request behind which none waits does not make its connection backlogged

Found by reading: a caller that sends a request while another one runs for over a second was counted as backlogged, so that it waits half as long for a slot, though none of its requests had been waiting. Change: the connection has caught up, too, if nothing more is there once a request was read.

--- a/packages/calls/src/acaciayard_calls/_caller.py
+++ b/packages/calls/src/acaciayard_calls/_caller.py
@@ -22,8 +22,8 @@
 #: with unread data resets the connection and the caller might lose the response.
 _LINGER_S: Final = 1.0
 _LINGER_BYTES: Final = 4 * 1024 * 1024
-#: Seconds for which further requests must have been waiting without a pause, so that a connection
-#: counts as backlogged.
+#: Seconds for which requests must have been waiting without a pause, so that a connection counts as
+#: backlogged.
 _BACKLOGGED_S: Final = 1.0
 #: Reason of a request that did not run, or whose response was not sent, as the connection closed.
 _CLOSED_BEFORE_TURN: Final = "an answer before it closed the connection"
@@ -47,7 +47,7 @@
         self._extra_readers = 0
         self._extra_readers_ended: anyio.Event | None = None
         self._idle_since = self._timers.now()
-        #: When a request was last read without others that were waiting before it.
+        #: When a request was last read that had not been waiting, or behind which none was.
         self._caught_up_at = self._idle_since
         #: When the head that is being received was first noticed, and `_idle_since` at that time.
         self._head_noticed = (0.0, -1.0)
@@ -160,7 +160,7 @@
                     return  # the connection closes after the requests in progress
                 self._is_reading = False
                 now = self._timers.now()
-                if is_caught_up:
+                if is_caught_up or not self._has_unread:
                     self._caught_up_at = now
                 request = CallerRequest(
                     head,
