The end of an answer that ends with its connection is logged and counted

A stream now keeps how its data ended: in order, broken, or closed here, with the error that was pending on the socket at that moment; event=target what=answer_end names the request of each answer that did not end in order, and target_answer_ends counts all. No decision has changed.

--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -106,6 +106,8 @@
         self._waiting: anyio.CancelScope | None = None
         self._is_aborted = False
         self._has_response = False
+        #: Whether the response ends with its connection.
+        self._ends_by_close = False
         self._sent = False
         self._body_sent = call.is_whole
         self._reusable = False
@@ -442,6 +444,7 @@
 
     async def _answer_of(self, head: ResponseHead) -> Answer:
         self._reusable = may_reuse(head, self._call)
+        self._ends_by_close = head.framing is Framing.UNTIL_CLOSE
         self._is_good = head.status < 500
         lacks_inner = not self._is_good and self._targets.lacks_inner(self._call)
         headers = end_to_end(head.headers)
@@ -507,14 +510,21 @@
         except HttpError as error:
             raise StreamLostError(f"the target's answer makes no sense: {error}") from error
         except StreamLostError as error:
+            self._note_answer_end()
             await self._connection_lost(error)
             if self._is_aborted:
                 raise StreamLostError("the call ended before its answer was complete") from error
             raise
         if isinstance(part, End):
+            self._note_answer_end()
             self._release(reuse=self._reusable and self._body_sent)
         return part
 
+    def _note_answer_end(self) -> None:
+        end = self._connection.stream.end if self._connection is not None else None
+        if self._ends_by_close and end is not None and self._target is not None:
+            self._targets.note_answer_end(self._target, self._call, end)
+
     def abort(self) -> None:
         self._is_aborted = True
         if self._waiting is not None:
--- a/packages/admission/src/acaciayard_admission/_target_news.py
+++ b/packages/admission/src/acaciayard_admission/_target_news.py
@@ -63,7 +63,8 @@
     born: int
     #: Kind of event: `announced`, `leaving`, `withdrawn`, `passed_over`, `ended`, or for what the
     #: target states in responses `limited`, `unlimited` or `limit_unreadable`; `unrequested_bytes`
-    #: if a connection was closed since it held bytes that answer no request.
+    #: if a connection was closed since it held bytes that answer no request; `answer_end` if a
+    #: connection whose end is that of a response did not end in order.
     what: str
     #: Reason; empty if the kind of event says it all.
     reason: str = ""
@@ -73,3 +74,5 @@
     at_work: tuple[LoggedCall, ...] = ()
     #: Software version of the target; empty if unknown or logged before.
     version: str = ""
+    #: Identity of the request that the event concerns; empty if it concerns none.
+    request_id: str = ""
--- a/packages/admission/src/acaciayard_admission/_targets.py
+++ b/packages/admission/src/acaciayard_admission/_targets.py
@@ -16,7 +16,7 @@
 )
 from acaciayard_resources import Configuration, DrainOrder, Service
 from acaciayard_timers import PauseDetector, TimerService
-from acaciayard_wire import Traffic
+from acaciayard_wire import EndKind, StreamEnd, Traffic
 
 from ._grace import RecentDurations, RemainingGrace
 from ._line_shares import GatePolicy
@@ -70,6 +70,7 @@
         self._nested_calls = NestedCalls(budgets or RetryBudgets())
         self._ended = 0
         self._unrequested: Counter[tuple[str]] = Counter()
+        self._answer_ends: Counter[tuple[str]] = Counter()
         self._sent: Counter[tuple[str, str]] = Counter()
         self._is_settled = is_settled
         self._lease = lease
@@ -122,6 +123,11 @@
         """Number of connections closed for bytes that answer no request, by where they were."""
         return self._unrequested
 
+    @property
+    def answer_ends(self) -> Counter[tuple[str]]:
+        """Number of responses that end with their connection, by how that ended."""
+        return self._answer_ends
+
     @property
     def sent(self) -> Counter[tuple[str, str]]:
         """Number of calls sent to targets here, as `(attempt, limit)`.
@@ -386,6 +392,22 @@
         start = target.announcement.start
         self._on_event(TargetEvent(start.name, start.born, "unrequested_bytes", place.value))
 
+    def note_answer_end(self, target: LocalTarget, call: Call, end: StreamEnd) -> None:
+        """Record how the connection ended whose end is that of the response to a call."""
+        self._answer_ends[(str(end),)] += 1
+        if end == StreamEnd(EndKind.IN_ORDER):
+            return
+        start = target.announcement.start
+        self._on_event(
+            TargetEvent(
+                start.name,
+                start.born,
+                "answer_end",
+                str(end),
+                request_id=call.request_id.decode("latin-1"),
+            )
+        )
+
     def _emit_end(self, target: LocalTarget) -> None:
         start = target.announcement.start
         at_work = target.at_work
--- a/packages/hosted/src/acaciayard_hosted/_build.py
+++ b/packages/hosted/src/acaciayard_hosted/_build.py
@@ -210,6 +210,7 @@
             version=news.version or None,
             what=news.what,
             reason=news.reason or None,
+            request=news.request_id or None,
             sequence=news.sequence or None,
             at_work="; ".join(map(_format_call, news.at_work)) or None,
         )
--- a/packages/hosted/src/acaciayard_hosted/_gauges.py
+++ b/packages/hosted/src/acaciayard_hosted/_gauges.py
@@ -222,6 +222,12 @@
             ("where",),
             lambda: of.targets.unrequested,
         ),
+        Counts(
+            "target_answer_ends",
+            "Responses of targets here that end with their connection, by how that ended",
+            ("end",),
+            lambda: of.targets.answer_ends,
+        ),
     )
 
 
--- a/packages/wire/src/acaciayard_wire/__init__.py
+++ b/packages/wire/src/acaciayard_wire/__init__.py
@@ -8,6 +8,7 @@
 from ._memory import MemoryShares, memory_shares
 from ._messages import MAX_MESSAGE_BYTES, MessageStream
 from ._stream import ByteStream, Listener, StreamLostError, StreamRefusedError, connect, listen
+from ._stream_end import EndKind, StreamEnd
 from ._traffic import PeerTraffic, Purpose, Traffic, TrafficTotals
 
 __all__ = [
@@ -20,6 +21,7 @@
     "ConnectionReset",
     "ControlPort",
     "DatagramHandler",
+    "EndKind",
     "FaultHandler",
     "HeldBody",
     "Listener",
@@ -28,6 +30,7 @@
     "MessageStream",
     "PeerTraffic",
     "Purpose",
+    "StreamEnd",
     "StreamHandler",
     "StreamRefusedError",
     "StreamLostError",
--- a/packages/wire/src/acaciayard_wire/_stream.py
+++ b/packages/wire/src/acaciayard_wire/_stream.py
@@ -19,6 +19,7 @@
 from typing import Final, cast
 
 from ._connection_buffers import REPORTED_BYTES, ConnectionBuffers
+from ._stream_end import StreamEnd
 from ._traffic import Purpose, Traffic
 
 __all__ = ["ByteStream", "Listener", "StreamLostError", "connect", "listen"]
@@ -74,6 +75,7 @@
         self._ended = False
         self._lost = False
         self._was_reset = False
+        self._end: StreamEnd | None = None
         self._reader: asyncio.Future[None] | None = None
         self._writer: asyncio.Future[None] | None = None
         self._write_paused = False
@@ -125,6 +127,7 @@
 
     def eof_received(self) -> bool:
         self._ended = True
+        self._end = self._end or StreamEnd.of_file_end(self._transport)
         self._wake(self._reader)
         if self._on_lost is not None:
             self._on_lost()
@@ -132,6 +135,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._was_reset = not self._ended
+        self._end = self._end or StreamEnd.of_loss(exc)
         self._ended = True
         self._lost = True
         self._wake(self._reader)
@@ -163,6 +167,11 @@
         """Whether the connection ended without an end-of-file from the other end."""
         return self._was_reset
 
+    @property
+    def end(self) -> StreamEnd | None:
+        """How the data of the connection ended, `None` before."""
+        return self._end
+
     @property
     def has_unread(self) -> bool:
         """Whether received bytes are buffered."""
