--- a/packages/standins/src/acaciayard_standins/__init__.py
+++ b/packages/standins/src/acaciayard_standins/__init__.py
@@ -1,5 +1,6 @@
 """Stand-ins for the platform: the log service and targets, with faults to switch on."""
 
+from ._abrupt_peer import AbruptPeer, PeerEnd
 from ._announcer import Announcer
 from ._caller import Caller, CallResult
 from ._fake_log import FakeLog
@@ -16,6 +17,7 @@
 from ._target import Journal, TargetStandIn
 
 __all__ = [
+    "AbruptPeer",
     "Announcer",
     "CallResult",
     "Caller",
@@ -31,6 +33,7 @@
     "LogLine",
     "LogStandIn",
     "MeshHost",
+    "PeerEnd",
     "ProcessError",
     "RandomRun",
     "RetryAudit",
