An end of a stream counts as one in order only if no error is pending on its socket

Callers saw a status 200 with their own id, the signature and an empty or short body that ended in order, where a target answers without a length and resets the connection.

Cause: the event loop of the daemons reads the last bytes, sees the hang-up beside them in the same poll and reports an end-of-file without the read that would return the error. The reader of responses believed each end-of-file. The class is an end of a stream that is believed without asking how it ended; the streams to targets, between daemons, of callers and of the store are of one type, and the one reader which gives a meaning to an end-of-file is that of responses, for targets and for the store.

Ruled out: a reset that is lost on a later hop (no error would be pending), an end that this process made (it is told as 'closed here').

Change: a stream asks its socket for the pending error when an end-of-file is reported, and the reader of responses takes the end of the connection for that of a body only if it came in order. A reset behind an end-of-file (EPIPE) changes nothing: all bytes had been received. Cost: one system call at the end of a connection.

--- a/packages/http1/src/acaciayard_http1/_reader.py
+++ b/packages/http1/src/acaciayard_http1/_reader.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from acaciayard_wire import ByteStream, StreamLostError
+from acaciayard_wire import ByteStream, EndKind, StreamLostError
 
 from ._messages import (
     BodyPart,
@@ -536,7 +536,8 @@
         return self._tail.endswith(_HEAD_END) and before not in (b"\r", b"\n")
 
     def _on_eof(self) -> End:
-        if self._until_close and not self._stream.was_reset:
+        end = self._stream.end
+        if self._until_close and end is not None and end.kind is EndKind.IN_ORDER:
             self._until_close = False
             return End()
-        raise StreamLostError("the target closed in the middle of an answer")
+        raise StreamLostError(f"the connection ended in the middle of an answer ({end})")
--- a/packages/http1/tests/test_http1.py
+++ b/packages/http1/tests/test_http1.py
@@ -23,13 +23,13 @@
     request_bytes,
     response_bytes,
 )
-from acaciayard_wire import StreamLostError
+from acaciayard_wire import EndKind, StreamEnd, StreamLostError
 
 
 class FakeStream:
     """A fake stream that returns the given pieces one by one, and then EOF."""
 
-    was_reset = False
+    end = StreamEnd(EndKind.IN_ORDER)
 
     def __init__(self, *pieces: bytes) -> None:
         self._pieces = list(pieces)
--- a/packages/standins/src/acaciayard_standins/_abrupt_peer.py
+++ b/packages/standins/src/acaciayard_standins/_abrupt_peer.py
@@ -54,10 +54,13 @@
         """Port on which it listens."""
         return int(self._listener.getsockname()[1])
 
-    async def answer(self, data: bytes, end: PeerEnd, *, awaits_request: bool = True) -> bytes:
+    async def answer(
+        self, data: bytes, end: PeerEnd, *, awaits_request: bool = True, early: bytes = b""
+    ) -> bytes:
         """Accept one connection, send `data` and end it; returns the request.
 
-        It waits for a request first unless `awaits_request` is false.
+        It waits for a request first unless `awaits_request` is false, and then until the kernel has
+        taken all of `early`.
         """
         await anyio.wait_readable(self._listener)
         connection, _ = self._listener.accept()
@@ -67,6 +70,9 @@
             if awaits_request:
                 await anyio.wait_readable(connection)
                 request = connection.recv(_REQUEST_BYTES)
+            while early:
+                await anyio.wait_writable(connection)
+                early = early[connection.send(early) :]
             end_abruptly(connection, data, end)
         return request
 
--- a/packages/wire/src/acaciayard_wire/_stream.py
+++ b/packages/wire/src/acaciayard_wire/_stream.py
@@ -74,7 +74,6 @@
         self._read_paused = False
         self._ended = False
         self._lost = False
-        self._was_reset = False
         self._end: StreamEnd | None = None
         self._reader: asyncio.Future[None] | None = None
         self._writer: asyncio.Future[None] | None = None
@@ -134,7 +133,6 @@
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._was_reset = not self._ended
         self._end = self._end or StreamEnd.of_loss(exc)
         self._ended = True
         self._lost = True
@@ -162,11 +160,6 @@
         """Whether the other end has closed the connection or it broke."""
         return self._lost or self._ended
 
-    @property
-    def was_reset(self) -> bool:
-        """Whether the connection ended without an end-of-file from the other end."""
-        return self._was_reset
-
     @property
     def end(self) -> StreamEnd | None:
         """How the data of the connection ended, `None` before."""
--- a/packages/wire/src/acaciayard_wire/_stream_end.py
+++ b/packages/wire/src/acaciayard_wire/_stream_end.py
@@ -6,11 +6,15 @@
 import errno
 import socket
 from enum import Enum
+from typing import Final
 
 from attrs import frozen
 
 __all__ = ["EndKind", "StreamEnd"]
 
+#: Errors of a socket whose other end had finished sending: none, or that of a reset after it.
+_ERRORS_BEHIND_END: Final = (0, errno.EPIPE)
+
 
 class EndKind(Enum):
     """Who ended a connection, and how; the values appear in logs."""
@@ -39,8 +43,14 @@
 
     @staticmethod
     def of_file_end(transport: asyncio.BaseTransport | None) -> StreamEnd:
-        """Return the end of a connection for which the event loop reports an end-of-file."""
-        return StreamEnd(EndKind.IN_ORDER, _symbol(_pending_error(transport)))
+        """Return the end of a connection for which the event loop reports an end-of-file.
+
+        A loop that polls a reset together with the last bytes may report the hang-up as an
+        end-of-file, without the read that would return the error.
+        """
+        code = _pending_error(transport)
+        kind = EndKind.IN_ORDER if code in _ERRORS_BEHIND_END else EndKind.BROKEN
+        return StreamEnd(kind, _symbol(code))
 
     @staticmethod
     def of_loss(error: Exception | None) -> StreamEnd:
@@ -57,7 +67,12 @@
 def _pending_error(transport: asyncio.BaseTransport | None) -> int:
     """Take the error of a socket that no read has reported yet; 0 for none."""
     own = transport.get_extra_info("socket") if transport is not None else None
-    return int(own.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)) if own is not None else 0
+    if own is None:
+        return 0
+    try:
+        return int(own.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+    except OSError as error:  # nothing is known of the end, so that it is not one in order
+        return error.errno or errno.EIO
 
 
 def _symbol(code: int) -> str:
