An answer without a length that is passed on before it is whole goes out in chunks

Callers saw a part that looks whole: an answer without a length of over 1 MB is passed on as it comes, marked by the end of the connection, and is reset if it breaks off. A caller whose event loop reports a reset beside the last bytes as an end-of-file, as that of the daemons does, takes the part for the whole.

The end of a connection is the only framing which a caller can misread; the daemon chose it for what it passes on.

Change: to callers that speak HTTP/1.1 the body goes out in chunks, with the last chunk only once the target's end came in order; the connection is still closed behind it, and reset if the daemon is killed. Answers of up to 1 MB are passed on only once they are whole, marked as before. HTTP/1.0 knows no chunks, and stays as it was.

--- a/packages/calls/src/acaciayard_calls/_answers.py
+++ b/packages/calls/src/acaciayard_calls/_answers.py
@@ -122,11 +122,13 @@
     async def _relay_parts(
         self, head: RequestHead, plan: Plan, answer: Answer, attempt: Attempt, deadline: float
     ) -> None:
-        framing = Framing.CHUNKED
-        if answer.length != UNKNOWN_LENGTH:
-            framing = Framing.SIZED
-        elif answer.ends_by_close or head.is_http10:
-            framing = Framing.UNTIL_CLOSE
+        framing = Framing.SIZED
+        if answer.length == UNKNOWN_LENGTH:
+            # Chunks show every caller whether the body is complete.  If the end of the connection
+            # did, a reset could pass for it at callers that do not ask how the connection ended.
+            framing = Framing.UNTIL_CLOSE if head.is_http10 else Framing.CHUNKED
+        is_closed_behind = answer.ends_by_close or framing is Framing.UNTIL_CLOSE
+        if is_closed_behind:
             self._on_closing()
             self._stream.guard_end()
         self._stream.send_nowait(
@@ -151,7 +153,7 @@
         finally:
             expiry.cancel()
         self._is_mid_answer = False
-        if framing is Framing.UNTIL_CLOSE:
+        if is_closed_behind:
             await self._stream.close_in_order()
 
     def _expire(self, attempt: Attempt) -> None:
