An answer of the log that breaks off is none, instead of raising in who appends

An answer of the log without a length that is reset at once, or closed in order, comes as a whole one from the library; its JSON does not end then, and append and bounds raised ValueError into the task that asked. Now append tells AppendUnknown, so that only reading settles it, and bounds tells Unavailable; read did so before. A part never counted as a record or a place: both formats tell their own end.

--- a/packages/logservice/src/acaciayard_logservice/_http.py
+++ b/packages/logservice/src/acaciayard_logservice/_http.py
@@ -33,6 +33,8 @@
 #: Bytes of a request or status line and of a header beyond its name and value.
 _LINE_OVERHEAD: Final = 12
 _HEADER_OVERHEAD: Final = 4
+#: Errors of a body that lacks what it should tell, such as one that has broken off.
+_UNREADABLE: Final = (ValueError, KeyError, TypeError)
 
 
 class HttpLogService(LogService):
@@ -68,7 +70,7 @@
         self._add_up(answer)
         match answer.status_code:
             case 200:
-                return Appended(int(answer.json()["offset"]))
+                return _appended(answer)
             case 429 | 503:
                 return NotAppended(f"the log answered {answer.status_code}")
             case status:
@@ -94,7 +96,7 @@
             if answer.status_code == 410:
                 return Expired(bounds)
             records = tuple(LogRecord(int(o), bytes(p)) for o, p in body["records"])
-        except (ValueError, KeyError, TypeError, msgpack.exceptions.UnpackException) as error:
+        except (*_UNREADABLE, msgpack.exceptions.UnpackException) as error:
             return Unavailable(f"the log's answer makes no sense: {error}")
         return Slice(records, bounds)
 
@@ -107,8 +109,11 @@
         self._add_up(answer)
         if answer.status_code != 200:
             return Unavailable(f"the log answered {answer.status_code}")
-        body = answer.json()
-        return Bounds(first=int(body["first"]), head=int(body["head"]))
+        try:
+            body = answer.json()
+            return Bounds(first=int(body["first"]), head=int(body["head"]))
+        except _UNREADABLE as error:
+            return Unavailable(f"the log's answer makes no sense: {error}")
 
     def _add_up(self, answer: httpx.Response) -> None:
         request = answer.request
@@ -118,6 +123,14 @@
         self._count(sent, received)
 
 
+def _appended(answer: httpx.Response) -> Appended | AppendUnknown:
+    """The place of a record, unless the answer that tells it has broken off."""
+    try:
+        return Appended(int(answer.json()["offset"]))
+    except _UNREADABLE as error:
+        return AppendUnknown(f"the log's answer makes no sense: {error}")
+
+
 def _size_of(headers: httpx.Headers) -> int:
     return sum(len(name) + len(value) + _HEADER_OVERHEAD for name, value in headers.raw)
 
