Interim responses behind the limit are not parsed

Callors of other hosts saw 503 where 504 was due: a target that sends interim responses without end held up the daemon beside it, so that other daemons took it for silent before it had taken their calls. The answers were true, but the connections of all calls at that daemon were given up.

Cause: the limit of 20 interim responses was applied where they are read, behind the parser, which went through all that had been received: 64 KB of them take 75 to 83 ms of the event loop, and a daemon counts as silent after 60 ms.

The new test fails before, with 2,000 heads parsed.

--- a/packages/http1/src/acaciayard_http1/_reader.py
+++ b/packages/http1/src/acaciayard_http1/_reader.py
@@ -32,6 +32,7 @@
 _START_LINE_OVERHEAD: Final = 128
 #: Maximum number of interim responses before a final one.
 _MAX_INTERIM_RESPONSES: Final = 20
+_TOO_MANY_INTERIMS: Final = f"more than {_MAX_INTERIM_RESPONSES} interim responses"
 #: Bytes that end a head.
 _HEAD_END: Final = b"\r\n\r\n"
 _STATUS_LINE: Final = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9][ \r]")
@@ -415,6 +416,8 @@
         self._tail = b""
         #: Number of bytes of the head that were received.
         self._head_size = 0
+        #: Number of interim responses that were received before the final one.
+        self._interims = 0
 
     def _create_parser(self) -> None:
         collector = _ResponseCollector(self._limits)
@@ -439,13 +442,14 @@
         self._body_framing = None
         self._tail = b""
         self._head_size = 0
+        self._interims = 0
         for _ in range(_MAX_INTERIM_RESPONSES + 1):
             head: ResponseHead = await self._next_event()
             if head.status >= 200:
                 break
             await self._next_event()
         else:
-            raise HttpError(502, f"more than {_MAX_INTERIM_RESPONSES} interim responses")
+            raise HttpError(502, _TOO_MANY_INTERIMS)
         self._until_close = head.framing is Framing.UNTIL_CLOSE
         return head
 
@@ -526,6 +530,10 @@
             self._is_reading = False
         elif head.framing is Framing.NONE:
             self._is_reading = head.status < 200
+            self._interims += self._is_reading
+            if self._interims > _MAX_INTERIM_RESPONSES:
+                # Further ones in the bytes received would only hold up other connections.
+                raise HttpError(502, _TOO_MANY_INTERIMS)
         else:
             self._body_framing = head.framing
             self._body_left = length_of(head)
--- a/packages/http1/tests/test_http1.py
+++ b/packages/http1/tests/test_http1.py
@@ -293,6 +293,25 @@
 
         self.assertEqual(anyio.run(run)[1], b"")
 
+    # Guards against a target whose interim responses hold up all other connections of a daemon.
+    def test_interim_responses_are_parsed_up_to_their_limit(self) -> None:
+        heads = 0
+
+        class CountingReader(ResponseReader):
+            def _feed_head(self, data: bytes) -> bytes:
+                nonlocal heads
+                heads += 1
+                return super()._feed_head(data)
+
+        async def run() -> None:
+            data = b"HTTP/1.1 102 Processing\r\n\r\n" * 2000
+            reader = CountingReader(FakeStream(data), Limits())  # type: ignore[arg-type]
+            await reader.next_head()
+
+        with self.assertRaises(HttpError):
+            anyio.run(run)
+        self.assertLess(heads, 50)
+
     def test_request_bytes(self) -> None:
         data = request_bytes(b"POST", b"/a", b"host: h\r\n", framing=Framing.SIZED, length=2)
         expected = b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\n"
