--- a/packages/admission/src/acaciayard_admission/_local.py
+++ b/packages/admission/src/acaciayard_admission/_local.py
@@ -454,7 +454,7 @@
         body = b""
         end = End()
         limit = self._read_ahead_limit(head)
-        found = await self._read_ahead(limit) if limit >= 0 else None
+        found = await self._read_ahead(limit) if limit is not None else None
         if found is not None:
             end = found
             body = b"".join(part.data for part in self._read_parts)
@@ -471,17 +471,17 @@
             is_nested_failure=lacks_inner,
         )
 
-    def _read_ahead_limit(self, head: ResponseHead) -> int:
-        """Return up to which size a body is read to its end here, -1 for not at all.
+    def _read_ahead_limit(self, head: ResponseHead) -> int | None:
+        """Return up to which size a body is read to its end here, `None` for not at all.
 
         Nothing of a body that is cut short has been forwarded then, so that the call can be tried
         again.  Callers that expect no signature may read a body of unknown length as it arrives.
         """
         length = length_of(head)
         if length >= 0:
-            return length if length <= LARGEST_WHOLE_BODY else -1
+            return length if length <= LARGEST_WHOLE_BODY else None
         if not self._dialect.response_signature:
-            return -1
+            return None
         is_until_close = head.framing is Framing.UNTIL_CLOSE
         return _MAX_UNDELIMITED_BODY if is_until_close else LARGEST_WHOLE_BODY
 
--- a/packages/callmodel/src/acaciayard_callmodel/_call.py
+++ b/packages/callmodel/src/acaciayard_callmodel/_call.py
@@ -109,7 +109,7 @@
     is_whole: bool
     #: Length of the body in bytes, or `UNKNOWN_LENGTH`.
     length: int
-    #: Whether the end of the connection delimits the body, so that truncation cannot be detected.
+    #: Whether the end of the target's connection delimits the body.
     ends_by_close: bool = False
     #: Trailers, if the body is complete.
     trailers: Headers = ()
--- a/packages/http1/src/acaciayard_http1/_messages.py
+++ b/packages/http1/src/acaciayard_http1/_messages.py
@@ -49,7 +49,8 @@
     SIZED = "sized"
     #: A zero-length chunk ends the body.
     CHUNKED = "chunked"
-    #: Closing the connection ends the body. Only for responses; truncation cannot be detected.
+    #: Closing the connection in order ends the body. Only for responses; one that is truncated in
+    #: that way cannot be told from a complete one.
     UNTIL_CLOSE = "until_close"
 
 
--- a/packages/wire/src/acaciayard_wire/_stream.py
+++ b/packages/wire/src/acaciayard_wire/_stream.py
@@ -19,7 +19,7 @@
 from typing import Final, cast
 
 from ._connection_buffers import REPORTED_BYTES, ConnectionBuffers
-from ._stream_end import StreamEnd
+from ._stream_end import StreamEnd, end_by_loss, reported_end
 from ._traffic import Purpose, Traffic
 
 __all__ = ["ByteStream", "Listener", "StreamLostError", "connect", "listen"]
@@ -126,14 +126,14 @@
 
     def eof_received(self) -> bool:
         self._ended = True
-        self._end = self._end or StreamEnd.of_file_end(self._transport)
+        self._end = self._end or reported_end(self._transport)
         self._wake(self._reader)
         if self._on_lost is not None:
             self._on_lost()
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._end = self._end or StreamEnd.of_loss(exc)
+        self._end = self._end or end_by_loss(exc)
         self._ended = True
         self._lost = True
         self._wake(self._reader)
--- a/packages/wire/src/acaciayard_wire/_stream_end.py
+++ b/packages/wire/src/acaciayard_wire/_stream_end.py
@@ -10,7 +10,7 @@
 
 from attrs import frozen
 
-__all__ = ["EndKind", "StreamEnd"]
+__all__ = ["EndKind", "StreamEnd", "end_by_loss", "reported_end"]
 
 #: Errors of a socket whose other end had finished sending: none, or that of a reset after it.
 _ERRORS_BEHIND_END: Final = (0, errno.EPIPE)
@@ -41,29 +41,29 @@
     #: Symbol of the error of the socket at that moment, empty for none.
     error: str = ""
 
-    @staticmethod
-    def of_file_end(transport: asyncio.BaseTransport | None) -> StreamEnd:
-        """Return the end of a connection for which the event loop reports an end-of-file.
-
-        A loop that polls a reset together with the last bytes may report the hang-up as an
-        end-of-file, without the read that would return the error.
-        """
-        code = _pending_error(transport)
-        kind = EndKind.IN_ORDER if code in _ERRORS_BEHIND_END else EndKind.BROKEN
-        return StreamEnd(kind, _symbol(code))
-
-    @staticmethod
-    def of_loss(error: Exception | None) -> StreamEnd:
-        """Return the end of a connection that is lost without an end-of-file."""
-        if error is None:
-            return StreamEnd(EndKind.CLOSED_HERE)
-        code = error.errno if isinstance(error, OSError) else None
-        return StreamEnd(EndKind.BROKEN, _symbol(code or 0) or type(error).__name__)
-
     def __str__(self) -> str:
         return f"{self.kind.value}: {self.error}" if self.error else self.kind.value
 
 
+def reported_end(transport: asyncio.BaseTransport | None) -> StreamEnd:
+    """Return the end of a connection for which the event loop reports an end-of-file.
+
+    A loop that polls a reset together with the last bytes may report the hang-up as an end-of-file,
+    without the read that would return the error.
+    """
+    code = _pending_error(transport)
+    kind = EndKind.IN_ORDER if code in _ERRORS_BEHIND_END else EndKind.BROKEN
+    return StreamEnd(kind, _symbol(code))
+
+
+def end_by_loss(error: Exception | None) -> StreamEnd:
+    """Return the end of a connection that is lost without an end-of-file."""
+    if error is None:
+        return StreamEnd(EndKind.CLOSED_HERE)
+    code = error.errno if isinstance(error, OSError) else None
+    return StreamEnd(EndKind.BROKEN, _symbol(code or 0) or type(error).__name__)
+
+
 def _pending_error(transport: asyncio.BaseTransport | None) -> int:
     """Take the error of a socket that no read has reported yet; 0 for none."""
     own = transport.get_extra_info("socket") if transport is not None else None
