--- a/packages/http1/tests/test_response_ends.py
+++ b/packages/http1/tests/test_response_ends.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Final
 
 import anyio
@@ -67,7 +69,7 @@
         anyio.run(body, backend_options=options)
 
 
-async def read_cut(data: bytes, end: PeerEnd) -> bytes | None:
+async def read_cut(data: bytes, end: PeerEnd, *, to_head_request: bool = False) -> bytes | None:
     """The body of a response that breaks off, `None` if it is not whole."""
     with AbruptPeer() as peer:
         stream = await connect("127.0.0.1", peer.port, traffic=Traffic(), purpose=Purpose.CALLS)
@@ -75,7 +77,7 @@
         reader = ResponseReader(stream, Limits())
         body = b""
         try:
-            await reader.next_head()
+            await reader.next_head(to_head_request=to_head_request)
             while isinstance(part := await reader.next_part(), BodyPart):
                 body += part.data
         except (StreamLostError, HttpError):
@@ -137,14 +139,14 @@
         http10 = b"HTTP/1.0 200 OK\r\na: b\r\n\r\n"
         heads = [SIZED, CHUNKED, UNTIL_CLOSE, EARLY + UNTIL_CLOSE, http10]
         heads += [head.replace(b"\r\n", b"\n") for head in heads]
+        readers = (read_cut, partial(read_cut, to_head_request=True), ask_for_cut)
         wrong = []
 
         async def body() -> None:
-            for head in heads:
+            for head, end, read in itertools.product(heads, PeerEnd, readers):
                 for at in range(len(head)):
-                    for end in PeerEnd:
-                        if await read_cut(head[:at], end) is not None:
-                            wrong.append((head[:at], end))
+                    if await read(head[:at], end) is not None:
+                        wrong.append((head[:at], end, read))
 
         on_each_loop(body)
         self.assertEqual(wrong, [])
